Add design page, build frame, common and http modules, interface headers

Cause: the repository was empty; the modules need shared value types, settings, logs and an HTTP layer before they can be written apart. Ruled out: Beast in public headers (long compiles), reuse of client connections (a silent connection swallows a request unnoticed). Before: nothing builds.

--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds and runs the tests: scripts/test.sh [PRESET]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+preset=${1:-release}
+scripts/packages.sh
+scripts/build.sh "$preset"
+ctest --preset "$preset" -j 4
--- /dev/null
+++ b/src/common/json.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "common/types/parse_error.h"
+
+#include <boost/json/value.hpp>
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace almondline {
+
+/// Parses JSON with nesting of at most 32 levels. The parse_error names the line of a syntax error.
+boost::leaf::result<boost::json::value> parse_json(std::string_view text);
+
+/// String member of an object, or the fallback if it is missing or of another type.
+std::string string_or(const boost::json::value& object, std::string_view key,
+                      std::string_view fallback = {});
+
+/// Number member of an object, or the fallback if it is missing or of another type.
+double number_or(const boost::json::value& object, std::string_view key, double fallback);
+
+/// Integer member of an object, or the fallback if it is missing, fractional or out of range.
+std::int64_t integer_or(const boost::json::value& object, std::string_view key,
+                        std::int64_t fallback);
+
+/// Boolean member of an object, or the fallback if it is missing or of another type.
+bool bool_or(const boost::json::value& object, std::string_view key, bool fallback);
+
+} // namespace almondline
--- /dev/null
+++ b/src/common/log.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace almondline {
+
+enum class log_level { debug, info, warning, error };
+
+/// Parses "debug", "info", "warning" or "error". Returns false for any other text.
+bool parse_log_level(std::string_view text, log_level& level);
+
+/// One key and value of a log line.
+struct log_field {
+    std::string_view key;
+    std::string value;
+
+    log_field(std::string_view k, std::string_view v) : key{k}, value{v} {}
+    log_field(std::string_view k, const char* v) : key{k}, value{v} {}
+    log_field(std::string_view k, const std::string& v) : key{k}, value{v} {}
+    template <class T>
+    requires std::is_arithmetic_v<T> log_field(std::string_view k, T v)
+        : key{k}, value{std::to_string(v)}
+    {
+    }
+};
+
+/// Writes one logfmt line to standard error: time, level, component, event, fields.
+/// Values with spaces, quotes or control characters are quoted and escaped.
+void log_event(std::string_view component, log_level level, std::string_view event,
+               std::initializer_list<log_field> fields = {});
+
+/// True if a line of this component and level would be written. For lines that are costly to build.
+bool is_log_enabled(std::string_view component, log_level level);
+
+/// Sets the lowest level that a component writes; "*" sets the default. May be called while
+/// running.
+void set_log_level(std::string_view component, log_level level);
+
+/// Text of a line without time, as log_event writes it.
+std::string format_log_line(std::string_view component, log_level level, std::string_view event,
+                            std::initializer_list<log_field> fields);
+
+/// Adds an attribute to each later line of the process, for example the instance id.
+void set_log_instance(std::string instance_id);
+
+} // namespace almondline
--- /dev/null
+++ b/src/common/settings.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "common/types/parse_error.h"
+
+#include <boost/leaf/result.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace almondline {
+
+enum class setting_type {
+    text,
+    integer,  ///< decimal, not negative
+    duration, ///< with a unit: ms, s, m or h
+    address,  ///< IP:PORT, IPv6 in brackets
+    addresses ///< one or more addresses, separated by commas
+};
+
+/// One key that a program knows. A key without a default must be given.
+struct setting_spec {
+    std::string section;
+    std::string key;
+    setting_type type = setting_type::text;
+    bool is_required = false;
+    std::string default_value;
+    std::string description;
+};
+
+/// Checked values of a settings file, with the defaults filled in.
+class settings {
+public:
+    explicit settings(std::map<std::string, std::string> values) : values_{std::move(values)} {}
+
+    /// Each accessor takes a name "section.key" that the spec contains.
+    std::string text(std::string_view name) const;
+    std::uint64_t integer(std::string_view name) const;
+    std::chrono::milliseconds duration(std::string_view name) const;
+    std::vector<std::string> list(std::string_view name) const;
+
+private:
+    std::map<std::string, std::string> values_;
+};
+
+/// Reads an INI file. An unknown section or key, a value of the wrong type or a missing required
+/// key is a parse_error with the file, and "section.key" as its place.
+boost::leaf::result<settings> load_settings(const std::string& path,
+                                            const std::vector<setting_spec>& spec);
+
+/// The same for text already read; path is used in errors only.
+boost::leaf::result<settings> parse_settings(const std::string& content, const std::string& path,
+                                             const std::vector<setting_spec>& spec);
+
+/// Parses "250ms", "3s", "5m" or "1h". Returns false for anything else.
+bool parse_duration(std::string_view text, std::chrono::milliseconds& value);
+
+/// IP address and port of "IP:PORT".
+struct endpoint_text {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+/// Splits "IP:PORT" or "[IPv6]:PORT". Returns false if the host is not an IP number.
+bool parse_endpoint(std::string_view text, endpoint_text& value);
+
+/// Reference of the known keys in Markdown, a table row each.
+std::string describe_settings(const std::vector<setting_spec>& spec);
+
+} // namespace almondline
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,173 @@
+#include "http/client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+
+namespace almondline {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t read_buffer_size = 16 * 1024;
+constexpr std::uint32_t max_header_size = 16 * 1024;
+
+http::request<http::string_body> to_beast(const http_request& request)
+{
+    http::request<http::string_body> out;
+    out.version(11);
+    out.method_string(request.method);
+    out.target(request.target);
+    for (const auto& it : request.headers) {
+        out.insert(it.name, it.value);
+    }
+    if (out.find(http::field::host) == out.end()) {
+        out.set(http::field::host, "almondline");
+    }
+    out.keep_alive(false);
+    out.body() = request.body;
+    out.prepare_payload();
+    return out;
+}
+
+} // namespace
+
+struct http_connection::state {
+    explicit state(asio::any_io_executor executor) : stream{std::move(executor)} {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buf;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+};
+
+http_connection::http_connection(asio::any_io_executor executor)
+    : state_{std::make_unique<state>(std::move(executor))}
+{
+}
+
+http_connection::~http_connection() = default;
+http_connection::http_connection(http_connection&&) noexcept = default;
+http_connection& http_connection::operator=(http_connection&&) noexcept = default;
+
+asio::awaitable<std::string> http_connection::connect(endpoint_text address,
+                                                      std::chrono::milliseconds timeout)
+{
+    boost::system::error_code ec;
+    const auto ip = asio::ip::make_address(address.host, ec);
+    if (ec) {
+        co_return "\"" + address.host + "\" is not an IP address";
+    }
+    state_->stream.expires_after(timeout);
+    const asio::ip::tcp::endpoint endpoint{ip, address.port};
+    std::tie(ec) = co_await state_->stream.async_connect(endpoint, use_tuple);
+    if (ec) {
+        co_return "connect: " + ec.message();
+    }
+    state_->stream.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+    co_return std::string{};
+}
+
+asio::awaitable<std::string> http_connection::write_request(const http_request& request,
+                                                            std::chrono::milliseconds timeout)
+{
+    const auto message = to_beast(request);
+    state_->stream.expires_after(timeout);
+    const auto [ec, n] = co_await http::async_write(state_->stream, message, use_tuple);
+    co_return ec ? "write: " + ec.message() : std::string{};
+}
+
+asio::awaitable<std::string> http_connection::read_header(http_response& response,
+                                                          std::chrono::milliseconds timeout)
+{
+    auto& parser = state_->parser.emplace();
+    parser.header_limit(max_header_size);
+    parser.body_limit(boost::none);
+    state_->stream.expires_after(timeout);
+    const auto [ec, n] =
+        co_await http::async_read_header(state_->stream, state_->buf, parser, use_tuple);
+    if (ec) {
+        co_return "read header: " + ec.message();
+    }
+    response.status = parser.get().result_int();
+    for (const auto& it : parser.get()) {
+        response.headers.push_back({std::string{it.name_string()}, std::string{it.value()}});
+    }
+    co_return std::string{};
+}
+
+asio::awaitable<std::string> http_connection::read_some(std::string& body, bool& is_done,
+                                                        std::chrono::milliseconds timeout)
+{
+    auto& parser = *state_->parser;
+    if (parser.is_done()) {
+        is_done = true;
+        co_return std::string{};
+    }
+    char buf[read_buffer_size];
+    parser.get().body().data = buf;
+    parser.get().body().size = sizeof buf;
+    state_->stream.expires_after(timeout);
+    // async_read_some returns after one read; async_read would wait until the buffer is full.
+    const auto [ec, n] =
+        co_await http::async_read_some(state_->stream, state_->buf, parser, use_tuple);
+    body.append(buf, sizeof buf - parser.get().body().size);
+    is_done = parser.is_done();
+    if (ec && ec != http::error::need_buffer) {
+        co_return "read body: " + ec.message();
+    }
+    co_return std::string{};
+}
+
+void http_connection::close()
+{
+    boost::system::error_code ec;
+    state_->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+    state_->stream.close();
+}
+
+asio::awaitable<http_result> call_http(endpoint_text address, http_request request,
+                                       http_timeouts timeouts, std::size_t max_body)
+{
+    http_result result;
+    http_connection connection{co_await asio::this_coro::executor};
+    result.message = co_await connection.connect(address, timeouts.connect);
+    if (!result.message.empty()) {
+        co_return result;
+    }
+    result.progress = http_progress::sent;
+    result.message = co_await connection.write_request(request, timeouts.write);
+    if (!result.message.empty()) {
+        co_return result;
+    }
+    result.message = co_await connection.read_header(result.response, timeouts.read);
+    if (!result.message.empty()) {
+        co_return result;
+    }
+    result.progress = http_progress::answered;
+    bool is_done = false;
+    while (!is_done && result.message.empty()) {
+        result.message =
+            co_await connection.read_some(result.response.body, is_done, timeouts.read);
+        if (result.response.body.size() > max_body) {
+            result.message = "read body: longer than the limit";
+        }
+    }
+    if (result.message.empty()) {
+        result.progress = http_progress::complete;
+    }
+    co_return result;
+}
+
+} // namespace almondline
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "common/settings.h"
+#include "http/types/message.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace almondline {
+
+/// How far an HTTP call came. Decides whether the other side may have run it.
+enum class http_progress {
+    not_connected, ///< no byte of the request was written
+    sent,          ///< writing began, no complete response header was read
+    answered,      ///< the response header was read, the body is incomplete
+    complete
+};
+
+struct http_timeouts {
+    std::chrono::milliseconds connect{1'000};
+    std::chrono::milliseconds write{5'000};
+    std::chrono::milliseconds read{5'000}; ///< for the header, and for each part of the body
+};
+
+/// One client connection for one request. All calls belong on its executor.
+class http_connection {
+public:
+    explicit http_connection(boost::asio::any_io_executor executor);
+    ~http_connection();
+    http_connection(http_connection&&) noexcept;
+    http_connection& operator=(http_connection&&) noexcept;
+
+    /// Each returns an empty text, or the cause of the failure.
+    boost::asio::awaitable<std::string> connect(endpoint_text address,
+                                                std::chrono::milliseconds timeout);
+    boost::asio::awaitable<std::string> write_request(const http_request& request,
+                                                      std::chrono::milliseconds timeout);
+    /// Fills in status and headers.
+    boost::asio::awaitable<std::string> read_header(http_response& response,
+                                                    std::chrono::milliseconds timeout);
+    /// Appends the next part of the body. Sets is_done after the last one; a connection that closes
+    /// before the end of the body is a failure.
+    boost::asio::awaitable<std::string> read_some(std::string& body, bool& is_done,
+                                                  std::chrono::milliseconds timeout);
+    void close();
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+struct http_result {
+    http_progress progress = http_progress::not_connected;
+    http_response response;
+    std::string message; ///< cause of a failure
+};
+
+/// Sends one request on a new connection and reads the whole response, of at most max_body bytes.
+/// A new connection each time: one that went silent unnoticed can't swallow a request.
+boost::asio::awaitable<http_result> call_http(endpoint_text address, http_request request,
+                                              http_timeouts timeouts,
+                                              std::size_t max_body = 16 * 1024 * 1024);
+
+} // namespace almondline
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,344 @@
+#include "http/server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace almondline {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds accept_retry_delay{50};
+
+http_request from_beast(http::request<http::string_body>&& message)
+{
+    http_request request;
+    request.method = std::string{message.method_string()};
+    request.target = std::string{message.target()};
+    for (const auto& it : message) {
+        request.headers.push_back({std::string{it.name_string()}, std::string{it.value()}});
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+template <class Message>
+void add_headers(Message& message, const std::vector<http_header>& headers)
+{
+    for (const auto& it : headers) {
+        message.insert(it.name, it.value);
+    }
+}
+
+int status_of_read_error(const boost::system::error_code& ec)
+{
+    if (ec == http::error::header_limit) {
+        return 431;
+    }
+    if (ec == http::error::body_limit) {
+        return 413;
+    }
+    if (ec == beast::error::timeout) {
+        return 408;
+    }
+    return 400;
+}
+
+bool is_connection_end(const boost::system::error_code& ec)
+{
+    return ec == http::error::end_of_stream || ec == asio::error::connection_reset ||
+           ec == asio::error::operation_aborted || ec == asio::error::eof;
+}
+
+class exchange final : public http_exchange {
+public:
+    exchange(beast::tcp_stream& stream, http_request request, bool keep_alive,
+             const http_server_limits& limits)
+        : stream_{stream}, request_{std::move(request)}, keep_alive_{keep_alive}, limits_{limits}
+    {
+    }
+
+    const http_request& request() const override { return request_; }
+
+    asio::awaitable<bool> reply(http_response response) override
+    {
+        is_answered_ = true;
+        http::response<http::string_body> message;
+        message.version(11);
+        message.result(static_cast<unsigned>(response.status));
+        add_headers(message, response.headers);
+        message.keep_alive(keep_alive_);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        stream_.expires_after(limits_.write_timeout);
+        const auto [ec, n] = co_await http::async_write(stream_, message, use_tuple);
+        co_return note(ec);
+    }
+
+    asio::awaitable<bool> start_stream(int status, std::vector<http_header> headers) override
+    {
+        is_answered_ = true;
+        is_streaming_ = true;
+        http::response<http::empty_body> message;
+        message.version(11);
+        message.result(static_cast<unsigned>(status));
+        add_headers(message, headers);
+        message.keep_alive(keep_alive_);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer{message};
+        stream_.expires_after(limits_.write_timeout);
+        const auto [ec, n] = co_await http::async_write_header(stream_, serializer, use_tuple);
+        co_return note(ec);
+    }
+
+    asio::awaitable<bool> write_chunk(std::string_view data) override
+    {
+        if (data.empty()) {
+            co_return is_open_;
+        }
+        stream_.expires_after(limits_.write_timeout);
+        const auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
+        const auto [ec, n] = co_await asio::async_write(stream_, chunk, use_tuple);
+        co_return note(ec);
+    }
+
+    asio::awaitable<bool> end_stream() override
+    {
+        is_streaming_ = false;
+        stream_.expires_after(limits_.write_timeout);
+        const auto [ec, n] =
+            co_await asio::async_write(stream_, http::make_chunk_last(), use_tuple);
+        co_return note(ec);
+    }
+
+    asio::awaitable<void> wait_closed() override
+    {
+        // A caller that pipelines its next request is not closed, so only an end of file counts.
+        while (is_open_) {
+            const auto [ec] =
+                co_await stream_.socket().async_wait(tcp::socket::wait_read, use_tuple);
+            if (ec) {
+                co_return;
+            }
+            char byte = 0;
+            boost::system::error_code peek_ec;
+            const auto n = stream_.socket().receive(asio::buffer(&byte, 1),
+                                                    tcp::socket::message_peek, peek_ec);
+            if (peek_ec && peek_ec != asio::error::would_block) {
+                co_return;
+            }
+            if (n > 0) {
+                co_await wait_forever();
+            }
+        }
+    }
+
+    void abort() override
+    {
+        is_open_ = false;
+        stream_.close();
+    }
+
+    std::string remote_address() const override
+    {
+        boost::system::error_code ec;
+        const auto remote = stream_.socket().remote_endpoint(ec);
+        return ec ? std::string{} : remote.address().to_string();
+    }
+
+    bool is_answered() const { return is_answered_; }
+    /// True if the connection can carry another request.
+    bool can_continue() const { return is_open_ && keep_alive_ && is_answered_ && !is_streaming_; }
+
+private:
+    bool note(const boost::system::error_code& ec)
+    {
+        is_open_ = is_open_ && !ec;
+        return is_open_;
+    }
+
+    asio::awaitable<void> wait_forever()
+    {
+        asio::steady_timer timer{stream_.get_executor(), asio::steady_timer::time_point::max()};
+        co_await timer.async_wait(use_tuple);
+    }
+
+    beast::tcp_stream& stream_;
+    http_request request_;
+    bool keep_alive_;
+    const http_server_limits& limits_;
+    bool is_open_ = true;
+    bool is_answered_ = false;
+    bool is_streaming_ = false;
+};
+
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<state> {
+    state(asio::io_context& context, http_server_limits server_limits, http_handler request_handler)
+        : io{context}, acceptor{asio::make_strand(context)}, limits{server_limits},
+          handler{std::move(request_handler)}
+    {
+    }
+
+    asio::awaitable<void> accept_loop();
+    asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buf);
+
+    asio::io_context& io;
+    tcp::acceptor acceptor;
+    http_server_limits limits;
+    http_handler handler;
+    std::atomic<bool> is_stopping{false};
+    std::atomic<std::size_t> connections{0};
+    std::atomic<std::size_t> requests{0};
+};
+
+asio::awaitable<void> http_server::state::accept_loop()
+{
+    const auto self = shared_from_this();
+    while (!is_stopping) {
+        auto [ec, socket] = co_await acceptor.async_accept(asio::make_strand(io), use_tuple);
+        if (ec == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (ec) {
+            // Out of file descriptors, for example: accepting at once again would spin.
+            asio::steady_timer timer{acceptor.get_executor(), accept_retry_delay};
+            co_await timer.async_wait(use_tuple);
+            continue;
+        }
+        if (connections >= limits.max_connections) {
+            socket.close(ec);
+            continue;
+        }
+        ++connections;
+        const auto executor = socket.get_executor();
+        asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<bool> http_server::state::serve_one(beast::tcp_stream& stream,
+                                                    beast::flat_buffer& buf)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.max_header_bytes);
+    parser.body_limit(limits.max_body_bytes);
+    stream.expires_after(limits.idle_timeout);
+    if (buf.size() == 0) {
+        const auto [ec] = co_await stream.socket().async_wait(tcp::socket::wait_read, use_tuple);
+        if (ec) {
+            co_return false;
+        }
+    }
+    stream.expires_after(limits.read_timeout);
+    const auto [ec, n] = co_await http::async_read(stream, buf, parser, use_tuple);
+    if (ec && is_connection_end(ec)) {
+        co_return false;
+    }
+    if (ec) {
+        exchange broken{stream, {}, false, limits};
+        const std::string body = R"({"error":{"code":"bad-request","message":")" + ec.message() +
+                                 R"(","verdict":"not-run"}})";
+        auto response = json_response(status_of_read_error(ec), body);
+        response.headers.push_back({"X-Verdict", "not-run"});
+        co_await broken.reply(std::move(response));
+        co_return false;
+    }
+    const bool keep_alive = parser.get().keep_alive() && !is_stopping;
+    exchange current{stream, from_beast(parser.release()), keep_alive, limits};
+    ++requests;
+    try {
+        // The handler may take long; only its writes are timed.
+        stream.expires_never();
+        co_await handler(current);
+    }
+    catch (const std::exception&) {
+        current.abort();
+    }
+    --requests;
+    if (!current.is_answered()) {
+        current.abort();
+    }
+    co_return current.can_continue();
+}
+
+asio::awaitable<void> http_server::state::serve(tcp::socket socket)
+{
+    const auto self = shared_from_this();
+    boost::system::error_code ec;
+    socket.set_option(tcp::no_delay{true}, ec);
+    beast::tcp_stream stream{std::move(socket)};
+    beast::flat_buffer buf;
+    bool can_continue = true;
+    while (can_continue) {
+        can_continue = co_await serve_one(stream, buf);
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    --connections;
+}
+
+http_server::http_server(asio::io_context& io, const endpoint_text& address,
+                         http_server_limits limits, http_handler handler)
+    : state_{std::make_shared<state>(io, limits, std::move(handler))}
+{
+    const tcp::endpoint endpoint{asio::ip::make_address(address.host), address.port};
+    state_->acceptor.open(endpoint.protocol());
+    state_->acceptor.set_option(tcp::acceptor::reuse_address{true});
+    state_->acceptor.bind(endpoint);
+    state_->acceptor.listen();
+    asio::co_spawn(state_->acceptor.get_executor(), state_->accept_loop(), asio::detached);
+}
+
+http_server::~http_server()
+{
+    stop_accepting();
+}
+
+std::uint16_t http_server::port() const
+{
+    return state_->acceptor.local_endpoint().port();
+}
+
+void http_server::stop_accepting()
+{
+    state_->is_stopping = true;
+    asio::post(state_->acceptor.get_executor(), [state = state_] {
+        boost::system::error_code ec;
+        state->acceptor.close(ec);
+    });
+}
+
+std::size_t http_server::requests_in_progress() const
+{
+    return state_->requests;
+}
+
+std::size_t http_server::open_connections() const
+{
+    return state_->connections;
+}
+
+} // namespace almondline
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "common/settings.h"
+#include "http/types/message.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace almondline {
+
+struct http_server_limits {
+    std::size_t max_connections = 10'000;
+    std::uint32_t max_header_bytes = 16 * 1024;
+    std::uint64_t max_body_bytes = 8 * 1024 * 1024;
+    std::chrono::milliseconds read_timeout{30'000};  ///< for one request, header and body
+    std::chrono::milliseconds idle_timeout{60'000};  ///< between requests of a connection
+    std::chrono::milliseconds write_timeout{10'000}; ///< for one write; ends slow readers
+};
+
+/// One request and its response. Each write returns false if the connection is gone.
+class http_exchange {
+public:
+    virtual ~http_exchange() = default;
+    virtual const http_request& request() const = 0;
+    /// Sends the whole response. Exactly one of reply and start_stream may be called, once.
+    virtual boost::asio::awaitable<bool> reply(http_response response) = 0;
+    /// Sends the header of a chunked response.
+    virtual boost::asio::awaitable<bool> start_stream(int status,
+                                                      std::vector<http_header> headers) = 0;
+    virtual boost::asio::awaitable<bool> write_chunk(std::string_view data) = 0;
+    virtual boost::asio::awaitable<bool> end_stream() = 0;
+    /// Returns when the caller has closed the connection. To be raced against other work.
+    virtual boost::asio::awaitable<void> wait_closed() = 0;
+    /// Closes without a proper end of the response, so that the caller sees it as cut.
+    virtual void abort() = 0;
+    virtual std::string remote_address() const = 0;
+
+protected:
+    http_exchange() = default;
+    http_exchange(const http_exchange&) = default;
+    http_exchange& operator=(const http_exchange&) = default;
+};
+
+using http_handler = std::function<boost::asio::awaitable<void>(http_exchange&)>;
+
+/// HTTP/1.1 server. Each connection runs on a strand of the io_context, which may have many
+/// threads.
+class http_server {
+public:
+    /// Listens at once. Throws boost::system::system_error if the address can't be bound.
+    http_server(boost::asio::io_context& io, const endpoint_text& address,
+                http_server_limits limits, http_handler handler);
+    ~http_server();
+
+    /// Port that is bound, for an address with port 0.
+    std::uint16_t port() const;
+    /// Accepts no new connection and closes idle ones after their next response. Thread-safe.
+    void stop_accepting();
+    /// Requests that are being handled. Thread-safe.
+    std::size_t requests_in_progress() const;
+    std::size_t open_connections() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace almondline
--- /dev/null
+++ b/src/http/tests/http_test.cpp
@@ -0,0 +1,111 @@
+#include "http/client.h"
+#include "http/server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace almondline;
+namespace asio = boost::asio;
+
+namespace {
+
+asio::awaitable<void> echo(http_exchange& exchange)
+{
+    const auto& request = exchange.request();
+    const std::vector<http_header> no_headers;
+    if (target_path(request.target) == "/stream") {
+        co_await exchange.start_stream(200, no_headers);
+        co_await exchange.write_chunk("one,");
+        co_await exchange.write_chunk("two");
+        co_await exchange.end_stream();
+        co_return;
+    }
+    if (target_path(request.target) == "/cut") {
+        co_await exchange.start_stream(200, no_headers);
+        co_await exchange.write_chunk("one,");
+        exchange.abort();
+        co_return;
+    }
+    co_await exchange.reply(json_response(201, request.method + " " + request.body));
+}
+
+struct fixture {
+    asio::io_context io;
+    http_server server{
+        io, {"127.0.0.1", 0}, {.max_header_bytes = 1024, .max_body_bytes = 64}, echo};
+
+    http_result call(http_request request)
+    {
+        http_result result;
+        const auto run = [&]() -> asio::awaitable<void> {
+            const endpoint_text address{"127.0.0.1", server.port()};
+            const http_timeouts timeouts;
+            result = co_await call_http(address, request, timeouts);
+            io.stop();
+        };
+        asio::co_spawn(io, run(), asio::detached);
+        io.restart();
+        io.run();
+        return result;
+    }
+};
+
+} // namespace
+
+TEST_CASE("call_http reads whole responses, plain and chunked")
+{
+    fixture f;
+    const auto plain = f.call({"POST", "/x", {}, "hello"});
+    CHECK(plain.progress == http_progress::complete);
+    CHECK(plain.response.status == 201);
+    CHECK(plain.response.body == "POST hello");
+    CHECK(f.call({"GET", "/stream", {}, ""}).response.body == "one,two");
+}
+
+TEST_CASE("call_http reports a body that was cut as incomplete, not as an answer")
+{
+    fixture f;
+    const auto result = f.call({"GET", "/cut", {}, ""});
+    CHECK(result.progress == http_progress::answered);
+    CHECK_FALSE(result.message.empty());
+}
+
+TEST_CASE("http_server refuses oversized input with a clear status")
+{
+    fixture f;
+    CHECK(f.call({"POST", "/x", {}, std::string(65, 'x')}).response.status == 413);
+    CHECK(f.call({"GET", "/x", {{"X-Long", std::string(2000, 'x')}}, ""}).response.status == 431);
+    CHECK(f.server.requests_in_progress() == 0);
+}
+
+TEST_CASE("call_http reports not_connected when nothing listens")
+{
+    std::uint16_t port = 0;
+    {
+        asio::io_context io;
+        const asio::ip::tcp::acceptor acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}};
+        port = acceptor.local_endpoint().port();
+    }
+    asio::io_context io;
+    http_result result;
+    const auto run = [&]() -> asio::awaitable<void> {
+        const endpoint_text address{"127.0.0.1", port};
+        const http_request request;
+        const http_timeouts timeouts;
+        result = co_await call_http(address, request, timeouts);
+    };
+    asio::co_spawn(io, run(), asio::detached);
+    io.run();
+    CHECK(result.progress == http_progress::not_connected);
+}
+
+TEST_CASE("query_parameter decodes escapes and tells missing parameters")
+{
+    CHECK(query_parameter("/a?x=1&name=a%2Fb", "name") == "a/b");
+    CHECK(query_parameter("/a?xname=1", "name").empty());
+    CHECK(percent_decode(percent_encode("a/b c%")) == "a/b c%");
+}
--- /dev/null
+++ b/src/peer/messages.thrift
@@ -0,0 +1,205 @@
+// Messages between entry instances. Fields may be added with new numbers; numbers are never reused.
+namespace cpp almondline.wire
+
+// First message on each connection, in both directions.
+struct hello {
+  1: required i32 protocol_version,
+  2: required string instance_id,
+  3: required i64 incarnation,
+  4: optional string failure_domain,
+}
+
+enum member_state { alive = 1, suspect = 2, dead = 3, leaving = 4 }
+
+struct member_update {
+  1: required string instance_id,
+  2: required i64 incarnation,
+  3: required member_state state,
+  4: optional string peer_address,
+  5: optional string caller_address,
+  6: optional string failure_domain,
+  7: optional i64 manifest_version,
+  // Raised by the member itself to refute a suspicion.
+  8: optional i64 refutation,
+}
+
+struct probe {
+  1: required i64 nonce,
+  2: optional list<member_update> updates,
+  // Set when the sender asks the receiver to probe this instance on its behalf.
+  3: optional string indirect_target,
+}
+
+struct probe_ack {
+  1: required i64 nonce,
+  2: optional list<member_update> updates,
+  // Set when the ack reports on an indirect probe.
+  3: optional string indirect_target,
+}
+
+struct manifest_announcement {
+  1: required i64 version,
+  2: required string digest,
+}
+
+struct manifest_request {
+  1: required i64 version,
+}
+
+struct manifest_body {
+  1: required i64 version,
+  2: required string digest,
+  3: required i32 chunk,
+  4: required i32 chunk_count,
+  5: required string data,
+}
+
+struct ask_message {
+  1: required string request_id,
+  2: required string pool,
+  3: required i32 tier,
+  4: required string account,
+  5: required string kind,
+  6: required double cost,
+  7: required i64 deadline_ms,          // time left until the deadline
+  8: required i64 estimated_service_ms,
+  9: optional list<i64> prefix_blocks,
+  10: optional double prompt_tokens,
+  11: optional double output_tokens,
+  12: optional bool resent,
+  // Backend servers that this request must not be sent to again.
+  13: optional list<string> excluded,
+}
+
+struct grant_message {
+  1: required string request_id,
+  2: required string pool,
+  3: required string credit_id,
+  4: required string backend_id,
+  5: required string backend_address,
+  6: required i64 lifetime_ms,
+  7: optional string reason,
+  8: optional list<string> candidates,  // "id=score" of each backend server considered
+}
+
+struct refusal_message {
+  1: required string request_id,
+  2: required string pool,
+  3: required string code,
+  4: required string message,
+  5: required i64 retry_after_ms,
+}
+
+// The holder dispatched the request under this credit.
+struct confirm_message {
+  1: required string request_id,
+  2: required string pool,
+  3: required string credit_id,
+}
+
+enum release_outcome { finished = 1, not_dispatched = 2, failed = 3, cancelled = 4 }
+
+struct release_message {
+  1: required string request_id,
+  2: required string pool,
+  3: required string credit_id,
+  4: required release_outcome outcome,
+  5: optional double actual_cost,
+  6: optional i64 first_token_ms,
+  7: optional i64 duration_ms,
+  8: optional double prompt_tokens,
+  9: optional double output_tokens,
+  10: optional string backend_id,
+}
+
+struct cancel_message {
+  1: required string request_id,
+  2: required string pool,
+}
+
+struct holding {
+  1: required string request_id,
+  2: required string credit_id,
+  3: required string backend_id,
+  4: required double cost,
+  5: required i32 tier,
+  6: required string account,
+  7: required string kind,
+}
+
+// Requests in progress that a holder reports to a new granter.
+struct holdings_message {
+  1: required string pool,
+  2: required list<holding> holdings,
+}
+
+enum claim_status { claimed = 1, duplicate = 2, refused = 3, unknown = 4 }
+
+// Asks the owner of a key range to claim a caller-chosen idempotency key before dispatch.
+struct claim_message {
+  1: required string claim_id,
+  2: required string account,
+  3: required string key_hash,
+  4: required string holder,
+  5: required i64 holder_incarnation,
+  6: required string request_id,
+}
+
+struct claim_reply {
+  1: required string claim_id,
+  2: required claim_status status,
+  3: optional string holder,
+  4: optional i64 holder_incarnation,
+  5: optional string request_id,
+  6: optional string message,
+}
+
+// Asks the holder of a claimed key for its recorded outcome.
+struct outcome_query {
+  1: required string query_id,
+  2: required string account,
+  3: required string key_hash,
+}
+
+struct outcome_reply {
+  1: required string query_id,
+  2: required bool is_known,
+  3: optional bool is_finished,
+  4: optional i32 http_status,
+  5: optional string content_type,
+  6: optional string body,
+  7: optional string verdict,
+}
+
+struct explain_query {
+  1: required string query_id,
+  2: required string request_id,
+}
+
+struct explain_reply {
+  1: required string query_id,
+  2: required list<string> lines,
+}
+
+// Exactly one field is set.
+union envelope {
+  1: hello greeting,
+  2: probe ping,
+  3: probe_ack ping_ack,
+  4: manifest_announcement announcement,
+  5: manifest_request body_request,
+  6: manifest_body body,
+  7: ask_message ask,
+  8: grant_message grant,
+  9: refusal_message refusal,
+  10: confirm_message confirmation,
+  11: release_message release,
+  12: cancel_message cancel,
+  13: holdings_message holdings,
+  14: claim_message claim,
+  15: claim_reply claimed,
+  16: outcome_query query,
+  17: outcome_reply outcome,
+  18: explain_query explain,
+  19: explain_reply explained,
+}
--- /dev/null
+++ b/src/routing/types/request_shape.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace almondline::routing {
+
+/// What the choice of a backend server depends on.
+struct request_shape {
+    std::string request_id;
+    double prompt_tokens = 0;
+    double output_tokens = 0;                 ///< estimate
+    std::vector<std::uint64_t> prefix_blocks; ///< chained hashes of the prompt's blocks, in order
+    std::vector<std::string> excluded;        ///< backend servers not to be chosen
+    std::string failure_domain;               ///< of the entry instance that will dispatch
+};
+
+} // namespace almondline::routing
--- /dev/null
+++ b/src/scheduling/types/ask.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "common/clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace almondline::scheduling {
+
+/// What the queue knows of one waiting request.
+struct ask {
+    std::string request_id;
+    std::string holder; ///< entry instance that holds the caller's connection
+    std::string account;
+    std::string kind;
+    int tier = 0;      ///< index in the manifest's tiers, 0 is the most urgent
+    double cost = 1.0; ///< estimated, in token units: prompt tokens + output_cost_factor * output
+    double prompt_tokens = 0;
+    double output_tokens = 0;
+    steady_time arrived{};
+    steady_time deadline{};
+    std::chrono::milliseconds estimated_service{0}; ///< least time from dispatch to the end
+    std::vector<std::uint64_t> prefix_blocks;       ///< chained hashes of the prompt's blocks
+    std::vector<std::string> excluded;              ///< backend servers not to be offered again
+};
+
+} // namespace almondline::scheduling
--- /dev/null
+++ b/src/store/instance_list.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace almondline {
+
+enum class instance_role { entry, backend };
+
+/// One line of the platform's list of instances.
+struct listed_instance {
+    std::string id;
+    instance_role role = instance_role::backend;
+    std::string service;      ///< backend servers: service name in the manifest
+    std::string engine_class; ///< backend servers of model services
+    std::string address;      ///< IP:PORT for callers (entry) or for requests (backend server)
+    std::string peer_address; ///< entry instances: IP:PORT for other entry instances
+    std::string failure_domain;
+    bool is_leaving = false;
+};
+
+struct instance_list_result {
+    bool is_ok = false;
+    std::vector<listed_instance> instances;
+    std::string message; ///< cause of a failure
+};
+
+/// The platform's list of live and leaving instances. It lags behind the truth.
+class instance_list {
+public:
+    using handler = std::function<void(const instance_list_result&)>;
+
+    virtual ~instance_list() = default;
+    /// The handler runs on the control thread, exactly once, never from within the call.
+    virtual void fetch(handler done) = 0;
+
+protected:
+    instance_list() = default;
+    instance_list(const instance_list&) = default;
+    instance_list& operator=(const instance_list&) = default;
+};
+
+} // namespace almondline
