--- /dev/null
+++ b/src/backend/completion.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace almondline::backend {
+
+/// Token counts that an engine reports at the end of an answer.
+struct token_usage {
+    double prompt_tokens = 0;
+    double completion_tokens = 0;
+    double cached_tokens = 0; ///< part of prompt_tokens that came from the prefix cache
+};
+
+/// Builds a plain chat.completion from the chunks of a streamed one, and reads the usage on the
+/// way. Engines are always asked to stream, because only a stream can be resumed after a cut.
+class completion_builder {
+public:
+    /// Returns false if the chunk is not a chat.completion.chunk.
+    bool add_chunk(std::string_view json);
+    /// Text of the answer so far as a chat.completion.
+    std::string build() const;
+    const token_usage& usage() const { return usage_; }
+    /// Chunks that carried generated content.
+    std::uint64_t content_chunks() const { return content_chunks_; }
+
+private:
+    struct tool_call {
+        std::string id;
+        std::string type;
+        std::string name;
+        std::string arguments;
+    };
+    struct choice {
+        std::string role = "assistant";
+        std::string content;
+        std::string finish_reason;
+        std::map<std::int64_t, tool_call> tool_calls;
+    };
+
+    std::string id_;
+    std::string model_;
+    std::int64_t created_ = 0;
+    std::map<std::int64_t, choice> choices_;
+    token_usage usage_;
+    bool has_usage_ = false;
+    std::uint64_t content_chunks_ = 0;
+};
+
+} // namespace almondline::backend
--- /dev/null
+++ b/src/backend/event_stream.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace almondline::backend {
+
+/// One server-sent event.
+struct stream_event {
+    std::uint64_t id = 0; ///< position in the stream from 1, 0 if the event carries none
+    std::string data;
+};
+
+/// Incremental parser of server-sent events. Comments, which serve as heartbeats, are passed over.
+class event_parser {
+public:
+    /// Appends the events that the data completes. Returns false if an event is longer than the
+    /// limit.
+    bool parse(std::string_view data, std::vector<stream_event>& events);
+
+private:
+    void parse_line(std::string_view line, std::vector<stream_event>& events);
+
+    std::string rest_;
+    stream_event current_;
+    bool has_data_ = false;
+};
+
+/// Longest line or event, in bytes.
+constexpr std::size_t max_event_size = 1024 * 1024;
+
+/// Text of one event on the wire.
+std::string format_event(const stream_event& event);
+
+} // namespace almondline::backend
--- /dev/null
+++ b/src/backend/reports.cpp
@@ -0,0 +1,90 @@
+#include "backend/reports.h"
+
+#include "common/json.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/leaf/error.hpp>
+#include <charconv>
+
+namespace almondline::backend {
+
+namespace json = boost::json;
+
+namespace {
+
+// Bounds what one report may add to memory.
+constexpr std::size_t max_events = 10'000;
+constexpr std::size_t max_models = 1'000;
+
+const json::array* find_array(const json::value& object, std::string_view key)
+{
+    const auto* it = object.get_object().if_contains(key);
+    return it == nullptr || !it->is_array() ? nullptr : &it->get_array();
+}
+
+std::uint64_t parse_block(const std::string& text)
+{
+    std::uint64_t block = 0;
+    std::from_chars(text.data(), text.data() + text.size(), block, 16);
+    return block;
+}
+
+int count_or_zero(const json::value& object, std::string_view key)
+{
+    constexpr std::int64_t highest = 1'000'000;
+    return static_cast<int>(std::clamp<std::int64_t>(integer_or(object, key, 0), 0, highest));
+}
+
+} // namespace
+
+boost::leaf::result<load_report> parse_load_report(std::string_view text)
+{
+    BOOST_LEAF_AUTO(parsed, parse_json(text));
+    if (!parsed.is_object()) {
+        return boost::leaf::new_error(parse_error{{}, 0, "load report", "not an object"});
+    }
+    load_report report;
+    report.age =
+        std::chrono::milliseconds{std::max<std::int64_t>(0, integer_or(parsed, "age_ms", 0))};
+    report.running = count_or_zero(parsed, "running");
+    report.waiting = count_or_zero(parsed, "waiting");
+    report.kv_used_tokens = std::max(0.0, number_or(parsed, "kv_used_tokens", 0));
+    report.kv_capacity_tokens = std::max(0.0, number_or(parsed, "kv_capacity_tokens", 0));
+    report.is_leaving = bool_or(parsed, "leaving", false);
+    if (const auto* models = find_array(parsed, "models")) {
+        for (const auto& it : *models) {
+            if (it.is_string() && report.models.size() < max_models) {
+                report.models.emplace_back(it.get_string().c_str());
+            }
+        }
+    }
+    return report;
+}
+
+boost::leaf::result<cache_event_batch> parse_cache_events(std::string_view text)
+{
+    BOOST_LEAF_AUTO(parsed, parse_json(text));
+    const auto* events = parsed.is_object() ? find_array(parsed, "events") : nullptr;
+    if (events == nullptr) {
+        return boost::leaf::new_error(parse_error{{}, 0, "events", "missing or not an array"});
+    }
+    cache_event_batch batch;
+    batch.first_sequence = static_cast<std::uint64_t>(integer_or(parsed, "first_seq", 0));
+    batch.next_sequence = static_cast<std::uint64_t>(integer_or(parsed, "next_seq", 0));
+    for (const auto& it : *events) {
+        if (batch.events.size() == max_events) {
+            break;
+        }
+        cache_event event;
+        event.sequence = static_cast<std::uint64_t>(integer_or(it, "seq", 0));
+        event.kind = string_or(it, "kind") == "evicted" ? cache_event_kind::evicted
+                                                        : cache_event_kind::stored;
+        event.block = parse_block(string_or(it, "block"));
+        batch.events.push_back(event);
+    }
+    return batch;
+}
+
+} // namespace almondline::backend
--- /dev/null
+++ b/src/backend/tests/event_stream_test.cpp
@@ -0,0 +1,38 @@
+#include "backend/event_stream.h"
+
+#include <doctest/doctest.h>
+
+using namespace almondline::backend;
+
+TEST_CASE("event_parser gives the same events however the data is cut")
+{
+    const std::string text =
+        "id: 1\ndata: {\"a\":1}\n\n: keep-alive\n\nid: 2\r\ndata: x\r\ndata: y\r\n\r\n"
+        "data: [DONE]\n\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        event_parser parser;
+        std::vector<stream_event> events;
+        REQUIRE(parser.parse(text.substr(0, cut), events));
+        REQUIRE(parser.parse(text.substr(cut), events));
+        REQUIRE(events.size() == 3);
+        CHECK(events[0].id == 1);
+        CHECK(events[0].data == "{\"a\":1}");
+        CHECK(events[1].id == 2);
+        CHECK(events[1].data == "x\ny");
+        CHECK(events[2].id == 0);
+        CHECK(events[2].data == "[DONE]");
+    }
+}
+
+TEST_CASE("event_parser rejects an endless line, which would grow without bound")
+{
+    event_parser parser;
+    std::vector<stream_event> events;
+    CHECK_FALSE(parser.parse(std::string(max_event_size + 1, 'x'), events));
+}
+
+TEST_CASE("format_event keeps line breaks within data")
+{
+    CHECK(format_event({7, "a\nb"}) == "id: 7\ndata: a\ndata: b\n\n");
+    CHECK(format_event({0, "[DONE]"}) == "data: [DONE]\n\n");
+}
--- /dev/null
+++ b/src/backend/tests/reports_test.cpp
@@ -0,0 +1,40 @@
+#include "backend/reports.h"
+
+#include <doctest/doctest.h>
+
+using namespace almondline::backend;
+
+TEST_CASE("parse_load_report reads the fields and bounds nonsense")
+{
+    const auto report = parse_load_report(
+        R"({"age_ms":1500,"running":3,"waiting":-2,"kv_used_tokens":10,"kv_capacity_tokens":100,)"
+        R"("leaving":true,"models":["a"]})");
+    REQUIRE(report);
+    CHECK(report->age == std::chrono::milliseconds{1500});
+    CHECK(report->running == 3);
+    CHECK(report->waiting == 0);
+    CHECK(report->is_leaving);
+    CHECK(report->models.size() == 1);
+}
+
+TEST_CASE("parse functions refuse malformed reports instead of reading zeros")
+{
+    for (const char* text : {"", "[]", "3", "{\"running\":"}) {
+        CAPTURE(text);
+        CHECK_FALSE(parse_load_report(text));
+        CHECK_FALSE(parse_cache_events(text));
+    }
+    CHECK_FALSE(parse_cache_events(R"({"events":7})"));
+}
+
+TEST_CASE("parse_cache_events keeps sequence numbers, so that a gap can be seen")
+{
+    const auto batch = parse_cache_events(
+        R"({"first_seq":5,"next_seq":7,"events":[{"seq":5,"kind":"stored","block":"ff"},)"
+        R"({"seq":6,"kind":"evicted","block":"0a"}]})");
+    REQUIRE(batch);
+    CHECK(batch->first_sequence == 5);
+    REQUIRE(batch->events.size() == 2);
+    CHECK(batch->events[0].block == 255);
+    CHECK(batch->events[1].kind == cache_event_kind::evicted);
+}
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -247,14 +247,14 @@
     parser.header_limit(limits.max_header_bytes);
     parser.body_limit(limits.max_body_bytes);
     stream.expires_after(limits.idle_timeout);
-    if (buf.size() == 0) {
-        const auto [ec] = co_await stream.socket().async_wait(tcp::socket::wait_read, use_tuple);
-        if (ec) {
-            co_return false;
-        }
+    auto [ec, n] = co_await http::async_read_header(stream, buf, parser, use_tuple);
+    if (ec == beast::error::timeout && buf.size() == 0) {
+        co_return false;
+    }
+    if (!ec) {
+        stream.expires_after(limits.read_timeout);
+        std::tie(ec, n) = co_await http::async_read(stream, buf, parser, use_tuple);
     }
-    stream.expires_after(limits.read_timeout);
-    const auto [ec, n] = co_await http::async_read(stream, buf, parser, use_tuple);
     if (ec && is_connection_end(ec)) {
         co_return false;
     }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -17,8 +17,8 @@
     std::size_t max_connections = 10'000;
     std::uint32_t max_header_bytes = 16 * 1024;
     std::uint64_t max_body_bytes = 8 * 1024 * 1024;
-    std::chrono::milliseconds read_timeout{30'000};  ///< for one request, header and body
-    std::chrono::milliseconds idle_timeout{60'000};  ///< between requests of a connection
+    std::chrono::milliseconds read_timeout{30'000};  ///< for the body of one request
+    std::chrono::milliseconds idle_timeout{60'000};  ///< for the header, and between requests
     std::chrono::milliseconds write_timeout{10'000}; ///< for one write; ends slow readers
 };
 
