Add clients of the key-value service, instance list and weight store

Cause: other modules need the platform's services behind the store interfaces, and tests need a store that fails on demand.

Reads move to another address after a failed call, except after 429, where another address would evade the rate limit. Writes are attempted once. Ruled out: failover of writes, because a repeated write can't tell its own first attempt from another writer's. A watch on a key that does not exist treats 404 after its wait as unchanged.

--- /dev/null
+++ b/src/store/internal/address_ring.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "common/settings.h"
+
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace almondline::store_internal {
+
+/// Addresses of one service, of which one is preferred until a call to it fails.
+class address_ring {
+public:
+    explicit address_ring(std::vector<endpoint_text> addresses) : addresses_{std::move(addresses)}
+    {
+    }
+
+    std::size_t size() const { return addresses_.size(); }
+    std::size_t preferred() const { return preferred_; }
+    const endpoint_text& at(std::size_t index) const { return addresses_[index]; }
+    std::size_t next(std::size_t index) const { return (index + 1) % addresses_.size(); }
+
+    /// Moves on after a failed call to this address. Calls that failed at the same time move it
+    /// once.
+    void leave(std::size_t index)
+    {
+        if (preferred_ == index) {
+            preferred_ = next(index);
+        }
+    }
+
+private:
+    std::vector<endpoint_text> addresses_;
+    std::size_t preferred_ = 0;
+};
+
+} // namespace almondline::store_internal
--- /dev/null
+++ b/src/store/weight_store.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "common/settings.h"
+#include "store/types/store_limits.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace almondline {
+
+enum class weight_status {
+    found,
+    missing,
+    limited, ///< above the rate of the weight store
+    failed   ///< outage or timeout
+};
+
+struct weight_result {
+    weight_status status = weight_status::failed;
+    std::string body;
+    std::chrono::milliseconds retry_after{0}; ///< for limited, from Retry-After, 1 s without it
+    std::string message;                      ///< cause of a failure
+};
+
+/// Client of the platform's rate-limited weight store. Nothing is retried here.
+class weight_store {
+public:
+    using handler = std::function<void(const weight_result&)>;
+
+    weight_store(boost::asio::any_io_executor executor, std::vector<endpoint_text> addresses,
+                 http_timeouts timeouts);
+    ~weight_store();
+    weight_store(const weight_store&) = delete;
+    weight_store& operator=(const weight_store&) = delete;
+
+    /// The handler runs on the executor, exactly once, never from within the call. It does not run
+    /// after the object is destroyed.
+    void fetch(const std::string& name, handler done);
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace almondline
