Add entry request handling: checks, credits, single dispatch, answers

Cause: a caller's request needs one path from its checks to its answer that dispatches once and never calls an unknown outcome not run. Ruled out: answering from the control thread (a slow caller would delay decisions).

--- a/src/backend/dispatch.cpp
+++ b/src/backend/dispatch.cpp
@@ -147,6 +147,9 @@
             outcome_.message = "event longer than the limit";
             co_return read_end::broken;
         }
+        if (events.empty() && !data.empty() && !co_await sink_.on_heartbeat()) {
+            co_return read_end::stopped;
+        }
         const auto end = co_await pass_on(events);
         if (end != read_end::broken) {
             co_return end;
--- a/src/backend/dispatch.h
+++ b/src/backend/dispatch.h
@@ -13,6 +13,8 @@
     virtual ~event_sink() = default;
     /// Returns false to stop the dispatch.
     virtual boost::asio::awaitable<bool> on_event(const stream_event& event) = 0;
+    /// The engine is alive but has no event. Returns false to stop the dispatch.
+    virtual boost::asio::awaitable<bool> on_heartbeat() = 0;
 
 protected:
     event_sink() = default;
--- a/src/backend/tests/dispatch_test.cpp
+++ b/src/backend/tests/dispatch_test.cpp
@@ -98,6 +98,7 @@
         text += std::to_string(event.id) + " ";
         co_return true;
     }
+    asio::awaitable<bool> on_heartbeat() override { co_return true; }
 };
 
 dispatch_limits quick_limits()
--- /dev/null
+++ b/src/entry/entry_settings.cpp
@@ -0,0 +1,98 @@
+#include "entry/entry_settings.h"
+
+#include "common/log.h"
+
+#include <boost/leaf/error.hpp>
+
+namespace almondline::entry {
+
+namespace {
+
+endpoint_text endpoint_of(const std::string& text)
+{
+    endpoint_text value;
+    parse_endpoint(text, value);
+    return value;
+}
+
+} // namespace
+
+const std::vector<setting_spec>& entry_setting_specs()
+{
+    using t = setting_type;
+    static const std::vector<setting_spec> specs{
+        {"entry", "instance_id", t::text, true, "", "Unique name of this instance."},
+        {"entry", "failure_domain", t::text, true, "", "Failure domain of this instance."},
+        {"entry", "listen", t::address, true, "", "Address for callers and operators."},
+        {"entry", "advertise", t::text, false, "",
+         "Address that callers are told. Empty: the value of listen."},
+        {"entry", "peer_listen", t::address, true, "", "Address for other entry instances."},
+        {"entry", "traffic_threads", t::integer, false, "4",
+         "Threads for caller and backend connections, 1 to 64."},
+        {"entry", "operator_key_hash", t::text, false, "",
+         "SHA-256 of the operator key. Empty: the operator endpoints are closed."},
+        {"entry", "drain_limit", t::duration, false, "10m",
+         "Longest time that a stop waits for requests in progress."},
+        {"entry", "drain_grace", t::duration, false, "10s",
+         "Time in which a stopping instance still answers new requests with a refusal."},
+        {"entry", "address_lifetime", t::duration, false, "10s",
+         "How long callers may keep the answer of /v1/addresses."},
+        {"entry", "max_connections", t::integer, false, "10000", "Most open caller connections."},
+        {"entry", "max_body_bytes", t::integer, false, "8388608", "Largest request body."},
+        {"store", "addresses", t::addresses, true, "", "Addresses of the key-value service."},
+        {"store", "timeout", t::duration, false, "2s", "Limit of one call."},
+        {"list", "address", t::address, true, "", "Address of the instance list."},
+        {"list", "poll", t::duration, false, "1s", "Time between two reads of the list."},
+        {"backend", "load_poll", t::duration, false, "500ms",
+         "Time between two reads of a backend server's load report and cache events."},
+        {"backend", "stream_silence", t::duration, false, "2s",
+         "A stream without an event or heartbeat for this long is resumed."},
+        {"backend", "resume_window", t::duration, false, "10s",
+         "Time in which resuming a stream is tried."},
+        {"backend", "connect_timeout", t::duration, false, "1s", "Limit of one connect."},
+        {"log", "level", t::text, false, "info", "Lowest level: debug, info, warning or error."},
+    };
+    return specs;
+}
+
+boost::leaf::result<entry_settings> load_entry_settings(const std::string& path)
+{
+    BOOST_LEAF_AUTO(values, load_settings(path, entry_setting_specs()));
+    entry_settings out;
+    out.instance_id = values.text("entry.instance_id");
+    out.failure_domain = values.text("entry.failure_domain");
+    out.listen = endpoint_of(values.text("entry.listen"));
+    const auto advertised = values.text("entry.advertise");
+    out.caller_address = advertised.empty() ? values.text("entry.listen") : advertised;
+    out.peer_address = values.text("entry.peer_listen");
+    out.traffic_threads = static_cast<int>(values.integer("entry.traffic_threads"));
+    out.operator_key_hash = values.text("entry.operator_key_hash");
+    out.drain_limit = values.duration("entry.drain_limit");
+    out.drain_grace = values.duration("entry.drain_grace");
+    out.address_lifetime = values.duration("entry.address_lifetime");
+    out.max_connections = values.integer("entry.max_connections");
+    out.max_body_bytes = values.integer("entry.max_body_bytes");
+    for (const auto& it : values.list("store.addresses")) {
+        out.store_addresses.push_back(endpoint_of(it));
+    }
+    out.store_timeout = values.duration("store.timeout");
+    out.list_address = endpoint_of(values.text("list.address"));
+    out.list_poll = values.duration("list.poll");
+    out.load_poll = values.duration("backend.load_poll");
+    out.stream_silence = values.duration("backend.stream_silence");
+    out.resume_window = values.duration("backend.resume_window");
+    out.connect_timeout = values.duration("backend.connect_timeout");
+    out.log_level = values.text("log.level");
+    if (out.traffic_threads < 1 || out.traffic_threads > 64) {
+        return boost::leaf::new_error(
+            parse_error{path, 0, "entry.traffic_threads", "must be from 1 to 64"});
+    }
+    log_level level{};
+    if (!parse_log_level(out.log_level, level)) {
+        return boost::leaf::new_error(
+            parse_error{path, 0, "log.level", "must be debug, info, warning or error"});
+    }
+    return out;
+}
+
+} // namespace almondline::entry
--- /dev/null
+++ b/src/entry/entry_settings.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "common/settings.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace almondline::entry {
+
+/// Settings of almondline-entry.
+struct entry_settings {
+    std::string instance_id;
+    std::string failure_domain;
+    endpoint_text listen;
+    std::string caller_address; ///< as callers are told
+    std::string peer_address;
+    int traffic_threads = 4;
+    std::string operator_key_hash;
+    std::chrono::milliseconds drain_limit{0};
+    std::chrono::milliseconds drain_grace{0};
+    std::chrono::milliseconds address_lifetime{0};
+    std::size_t max_connections = 0;
+    std::size_t max_body_bytes = 0;
+    std::vector<endpoint_text> store_addresses;
+    std::chrono::milliseconds store_timeout{0};
+    endpoint_text list_address;
+    std::chrono::milliseconds list_poll{0};
+    std::chrono::milliseconds load_poll{0};
+    std::chrono::milliseconds stream_silence{0};
+    std::chrono::milliseconds resume_window{0};
+    std::chrono::milliseconds connect_timeout{0};
+    std::string log_level;
+};
+
+const std::vector<setting_spec>& entry_setting_specs();
+
+/// Errors carry a parse_error.
+boost::leaf::result<entry_settings> load_entry_settings(const std::string& path);
+
+} // namespace almondline::entry
--- /dev/null
+++ b/src/entry/refusals.cpp
@@ -0,0 +1,48 @@
+#include "entry/refusals.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace almondline::entry {
+
+namespace json = boost::json;
+
+std::string error_body(const refusal& why, const std::string& request_id)
+{
+    const json::object error{{"code", why.code},
+                             {"message", why.message},
+                             {"verdict", to_string(why.run)},
+                             {"retry_after_ms", why.retry_after.count()},
+                             {"request_id", request_id}};
+    return json::serialize(json::object{{"error", error}});
+}
+
+http_response refusal_response(int status, const refusal& why, const std::string& request_id)
+{
+    auto response = json_response(status, error_body(why, request_id));
+    response.headers.push_back({"X-Verdict", std::string{to_string(why.run)}});
+    if (!request_id.empty()) {
+        response.headers.push_back({"X-Request-Id", request_id});
+    }
+    if (why.retry_after.count() > 0) {
+        // The header counts whole seconds; rounding down would send callers back too early.
+        const auto seconds = (why.retry_after.count() + 999) / 1000;
+        response.headers.push_back({"Retry-After", std::to_string(seconds)});
+    }
+    return response;
+}
+
+http_response error_response(const api_error& error, const std::string& request_id)
+{
+    const refusal why{verdict::not_run, error.code, error.message, {}};
+    return refusal_response(error.status, why, request_id);
+}
+
+int status_of_refusal(const std::string& code)
+{
+    constexpr int too_many_requests = 429;
+    constexpr int unavailable = 503;
+    return code == "account-limit" ? too_many_requests : unavailable;
+}
+
+} // namespace almondline::entry
--- /dev/null
+++ b/src/entry/request_runner.cpp
@@ -0,0 +1,375 @@
+#include "entry/request_runner.h"
+
+#include "common/log.h"
+#include "entry/internal/answer_sink.h"
+#include "entry/internal/credit_wait.h"
+#include "entry/refusals.h"
+
+#include <algorithm>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace almondline::entry {
+
+namespace asio = boost::asio;
+using namespace asio::experimental::awaitable_operators;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Cost of an output token in units of a prompt token: decoding takes one pass a token, prefill
+/// handles many tokens in a pass.
+constexpr double output_cost_factor = 8;
+constexpr milliseconds retry_after_backend_failure{1'000};
+
+double cost_of(double prompt_tokens, double output_tokens)
+{
+    return prompt_tokens + output_cost_factor * output_tokens;
+}
+
+/// Least time that any class of engines of the manifest needs.
+milliseconds least_service_time(const manifest& m, const caller_request& request)
+{
+    if (request.type == service_type::plain) {
+        return milliseconds{0};
+    }
+    double least = -1;
+    for (const auto& it : m.engine_classes) {
+        const double prefill = request.prompt_tokens / it.prefill_tokens_per_second;
+        const double decode = request.output_tokens / it.decode_tokens_per_second;
+        least = least < 0 ? prefill + decode : std::min(least, prefill + decode);
+    }
+    return milliseconds{static_cast<std::int64_t>(std::max(0.0, least) * 1000)};
+}
+
+credit_use use_of(const backend::dispatch_outcome& outcome)
+{
+    using backend::dispatch_end;
+    constexpr int first_server_error = 500;
+    switch (outcome.end) {
+    case dispatch_end::completed:
+        return credit_use::finished;
+    case dispatch_end::stopped:
+        return credit_use::cancelled;
+    case dispatch_end::rejected:
+        // A fault of the request says nothing about the health of the backend server.
+        return outcome.response.status < first_server_error ? credit_use::cancelled
+                                                            : credit_use::failed;
+    case dispatch_end::not_dispatched:
+    case dispatch_end::not_admitted:
+    case dispatch_end::broken:
+        return credit_use::failed;
+    }
+    return credit_use::failed;
+}
+
+/// One request from its checks to its answer.
+class request_run {
+public:
+    request_run(traffic_context& context, caller_request request, http_exchange& exchange)
+        : context_{context}, request_{std::move(request)}, exchange_{exchange}, sink_{context_,
+                                                                                      request_,
+                                                                                      exchange_},
+          started_{context.clock.now()}, deadline_{started_ + request_.time_limit}
+    {
+    }
+
+    asio::awaitable<recorded_answer> run();
+
+private:
+    scheduling::ask make_ask() const;
+    asio::awaitable<bool> acquire();
+    asio::awaitable<void> dispatch();
+    asio::awaitable<void> dispatch_until_closed();
+    asio::awaitable<void> dispatch_to_server();
+    bool may_retry();
+    void release();
+    asio::awaitable<void> answer();
+    asio::awaitable<void> refuse(int status, const refusal& why);
+    asio::awaitable<void> pass_on_response();
+    void record_end(int status, verdict run, std::string_view code);
+
+    traffic_context& context_;
+    caller_request request_;
+    http_exchange& exchange_;
+    answer_sink sink_;
+    steady_time started_;
+    steady_time deadline_;
+    steady_time dispatched_{};
+    std::vector<std::string> excluded_;
+    credit credit_;
+    backend::dispatch_outcome outcome_;
+    recorded_answer recorded_;
+    bool is_caller_closed_ = false;
+};
+
+scheduling::ask request_run::make_ask() const
+{
+    scheduling::ask what;
+    what.request_id = request_.request_id;
+    what.holder = context_.instance_id;
+    what.account = request_.account;
+    what.kind = request_.kind;
+    what.tier = request_.tier;
+    what.prompt_tokens = request_.prompt_tokens;
+    what.output_tokens = request_.output_tokens;
+    what.cost = cost_of(request_.prompt_tokens, request_.output_tokens);
+    what.arrived = context_.clock.now();
+    what.deadline = deadline_;
+    const auto current = context_.manifests.snapshot();
+    what.estimated_service = least_service_time(*current->content, request_);
+    what.prefix_blocks = request_.prefix_blocks;
+    what.excluded = excluded_;
+    return what;
+}
+
+/// Returns false if there is no credit; the caller has then been answered, or is gone.
+asio::awaitable<bool> request_run::acquire()
+{
+    const auto pool = request_.service;
+    auto decision = co_await wait_for_credit(context_.credits, pool, make_ask(), exchange_);
+    if (!decision) {
+        is_caller_closed_ = true;
+        record_end(0, verdict::not_run, "caller-closed");
+        co_return false;
+    }
+    if (const auto* why = std::get_if<refusal>(&*decision)) {
+        co_await refuse(status_of_refusal(why->code), *why);
+        co_return false;
+    }
+    credit_ = std::get<credit>(*decision);
+    context_.metrics.observe("almondline_queue_seconds", {{"tier", request_.tier_name}},
+                             context_.clock.now() - started_);
+    co_return true;
+}
+
+asio::awaitable<void> request_run::dispatch_to_server()
+{
+    const backend::target to{credit_.backend_id, [&] {
+                                 endpoint_text address;
+                                 parse_endpoint(credit_.backend_address, address);
+                                 return address;
+                             }()};
+    auto message = request_.forward;
+    message.headers.push_back({"X-Request-Id", request_.request_id});
+    if (request_.type == service_type::plain) {
+        const auto left = std::chrono::duration_cast<milliseconds>(deadline_ - dispatched_);
+        outcome_ = co_await backend::dispatch_call(to, std::move(message), context_.limits, left);
+        co_return;
+    }
+    outcome_ = co_await backend::dispatch_completion(to, request_.request_id, std::move(message),
+                                                     context_.limits, context_.clock, sink_);
+}
+
+asio::awaitable<void> request_run::dispatch_until_closed()
+{
+    const auto first = co_await (dispatch_to_server() || exchange_.wait_closed());
+    if (first.index() == 0) {
+        co_return;
+    }
+    is_caller_closed_ = true;
+    outcome_.end = backend::dispatch_end::stopped;
+    outcome_.run = verdict::may_have_run;
+}
+
+asio::awaitable<void> request_run::dispatch()
+{
+    context_.credits.confirm(credit_);
+    dispatched_ = context_.clock.now();
+    outcome_ = {};
+    const auto line = format_log_line("entry", log_level::info, "dispatch",
+                                      {{"request", request_.request_id},
+                                       {"backend", credit_.backend_id},
+                                       {"credit", credit_.credit_id},
+                                       {"reason", credit_.reason}});
+    context_.decisions.record(request_.request_id, line);
+    if (request_.is_idempotent) {
+        co_await dispatch_until_closed();
+    }
+    else {
+        co_await dispatch_to_server();
+    }
+    const bool is_cancelled = outcome_.end == backend::dispatch_end::stopped;
+    if (is_cancelled && request_.type == service_type::model) {
+        endpoint_text address;
+        parse_endpoint(credit_.backend_address, address);
+        const backend::target engine{credit_.backend_id, address};
+        co_await backend::cancel_stream(engine, request_.request_id, context_.limits);
+    }
+    release();
+}
+
+void request_run::release()
+{
+    const auto now = context_.clock.now();
+    credit_report report;
+    report.use = use_of(outcome_);
+    report.prompt_tokens = outcome_.usage.prompt_tokens;
+    report.output_tokens = outcome_.usage.completion_tokens;
+    report.actual_cost = cost_of(report.prompt_tokens, report.output_tokens);
+    if (request_.type == service_type::plain && report.use == credit_use::finished) {
+        report.actual_cost = cost_of(request_.prompt_tokens, request_.output_tokens);
+    }
+    report.duration = std::chrono::duration_cast<milliseconds>(now - dispatched_);
+    if (outcome_.first_event != steady_time{}) {
+        report.first_token =
+            std::chrono::duration_cast<milliseconds>(outcome_.first_event - dispatched_);
+        context_.metrics.observe("almondline_first_token_seconds", {{"tier", request_.tier_name}},
+                                 outcome_.first_event - started_);
+    }
+    if (report.use == credit_use::finished && request_.type == service_type::model) {
+        context_.lengths.learn(request_.service, request_.kind, report.output_tokens);
+    }
+    else if (outcome_.run == verdict::may_have_run) {
+        context_.metrics.add("almondline_wasted_prefill_tokens_total",
+                             {{"tier", request_.tier_name}}, request_.prompt_tokens);
+    }
+    context_.credits.release(credit_, report);
+}
+
+bool request_run::may_retry()
+{
+    if (outcome_.end != backend::dispatch_end::not_dispatched || is_caller_closed_) {
+        return false;
+    }
+    if (context_.clock.now() >= deadline_ || !context_.retries.take(request_.service)) {
+        return false;
+    }
+    excluded_.push_back(credit_.backend_id);
+    context_.metrics.add("almondline_retries_total", {{"service", request_.service}});
+    log_event("entry", log_level::info, "retry",
+              {{"request", request_.request_id},
+               {"failed_backend", credit_.backend_id},
+               {"cause", outcome_.message}});
+    return true;
+}
+
+void request_run::record_end(int status, verdict run, std::string_view code)
+{
+    const auto now = context_.clock.now();
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(now - started_).count();
+    recorded_.status = status;
+    recorded_.run = run;
+    context_.metrics.add("almondline_requests_total", {{"tier", request_.tier_name},
+                                                       {"account", request_.account},
+                                                       {"verdict", to_string(run)},
+                                                       {"code", code}});
+    const std::initializer_list<log_field> fields{
+        {"request", request_.request_id}, {"account", request_.account},
+        {"service", request_.service},    {"tier", request_.tier_name},
+        {"kind", request_.kind},          {"status", status},
+        {"verdict", to_string(run)},      {"code", code},
+        {"backend", credit_.backend_id},  {"events", outcome_.events},
+        {"resumes", outcome_.resumes},    {"ms", elapsed}};
+    log_event("entry", log_level::info, "answer", fields);
+    context_.decisions.record(request_.request_id,
+                              format_log_line("entry", log_level::info, "answer", fields));
+}
+
+asio::awaitable<void> request_run::refuse(int status, const refusal& why)
+{
+    record_end(status, why.run, why.code);
+    if (co_await sink_.break_off(why)) {
+        co_return;
+    }
+    auto response = refusal_response(status, why, request_.request_id);
+    if (!request_.idempotency_key.empty()) {
+        recorded_.body = response.body;
+        recorded_.content_type = "application/json";
+    }
+    co_await exchange_.reply(std::move(response));
+}
+
+asio::awaitable<void> request_run::pass_on_response()
+{
+    record_end(outcome_.response.status, outcome_.run, to_string(outcome_.end));
+    http_response response;
+    response.status = outcome_.response.status;
+    const auto type = find_header(outcome_.response.headers, "Content-Type");
+    if (!type.empty()) {
+        response.headers.push_back({"Content-Type", std::string{type}});
+    }
+    response.headers.push_back({"X-Request-Id", request_.request_id});
+    response.headers.push_back({"X-Verdict", std::string{to_string(outcome_.run)}});
+    if (outcome_.retry_after.count() > 0) {
+        const auto seconds = outcome_.retry_after.count() / 1000;
+        response.headers.push_back({"Retry-After", std::to_string(seconds)});
+    }
+    response.body = std::move(outcome_.response.body);
+    if (!request_.idempotency_key.empty()) {
+        recorded_.body = response.body;
+        recorded_.content_type = std::string{type};
+    }
+    co_await exchange_.reply(std::move(response));
+}
+
+asio::awaitable<void> request_run::answer()
+{
+    using backend::dispatch_end;
+    if (is_caller_closed_) {
+        record_end(0, outcome_.run, "caller-closed");
+        co_return;
+    }
+    refusal why{outcome_.run, {}, outcome_.message, retry_after_backend_failure};
+    switch (outcome_.end) {
+    case dispatch_end::completed:
+        if (request_.type == service_type::plain) {
+            co_await pass_on_response();
+            co_return;
+        }
+        record_end(200, verdict::ran, "ok");
+        co_await sink_.finish();
+        recorded_.content_type = sink_.content_type();
+        recorded_.body = sink_.recorded_body();
+        co_return;
+    case dispatch_end::rejected:
+        co_await pass_on_response();
+        co_return;
+    case dispatch_end::not_admitted:
+        why.code = "not-admitted";
+        why.retry_after = std::max(why.retry_after, outcome_.retry_after);
+        co_await refuse(503, why);
+        co_return;
+    case dispatch_end::not_dispatched:
+        why.code = "backend-unreachable";
+        co_await refuse(503, why);
+        co_return;
+    case dispatch_end::broken:
+    case dispatch_end::stopped:
+        why.code = "outcome-unknown";
+        why.retry_after = {};
+        co_await refuse(502, why);
+        co_return;
+    }
+}
+
+asio::awaitable<recorded_answer> request_run::run()
+{
+    const auto current = context_.manifests.snapshot();
+    const auto* service = find_service(*current->content, request_.service);
+    context_.retries.on_first_attempt(request_.service,
+                                      service == nullptr ? 0 : service->retry_budget_percent);
+    do {
+        if (!co_await acquire()) {
+            co_return recorded_;
+        }
+        co_await dispatch();
+    } while (may_retry());
+    co_await answer();
+    co_return recorded_;
+}
+
+} // namespace
+
+asio::awaitable<recorded_answer> run_request(traffic_context& context, caller_request request,
+                                             http_exchange& exchange)
+{
+    if (request.type == service_type::model) {
+        request.output_tokens =
+            context.lengths.estimate(request.service, request.kind, request.max_output_tokens);
+    }
+    request_run run{context, std::move(request), exchange};
+    co_return co_await run.run();
+}
+
+} // namespace almondline::entry
