Add peer module: frames, transport between entry instances

Cause: entry instances need best-effort messages that survive silent connections, restarts and hostile input. Frames are Thrift compact protocol behind a 4-byte length. String and list limits are set from the size of the body, and lists are limited to 4096 elements, because Thrift allocates a list before reading it. peer_transport answers one-way traffic with an empty frame within 500 ms. Ruled out: treating every connection without an answer for 2 s as silent; releases and confirmations have no answer, so working connections would be replaced all the time. Ruled out: taking shared_from_this() inside the coroutines. A spawned coroutine starts later, and the address sanitizer showed a use after free when the transport was destroyed before that. The owning pointer is now a parameter. Conclusion: no authentication of peers; the peer port has to be reachable by instances only.

--- /dev/null
+++ b/src/peer/envelope_kind.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace almondline {
+
+namespace wire {
+class envelope;
+} // namespace wire
+
+namespace peer {
+
+/// The field that is set in an envelope. Values are the field numbers in messages.thrift.
+enum class envelope_kind {
+    none = 0, ///< no field is set, or one that this version does not know
+    greeting,
+    ping,
+    ping_ack,
+    announcement,
+    body_request,
+    body,
+    ask,
+    grant,
+    refusal,
+    confirmation,
+    release,
+    cancel,
+    holdings,
+    claim,
+    claimed,
+    query,
+    outcome,
+    explain,
+    explained
+};
+
+constexpr std::size_t envelope_kind_count = 20;
+
+/// The first field that is set.
+envelope_kind kind_of(const wire::envelope& message);
+
+/// Name of the field, for logs and metrics; "none" for none.
+std::string_view to_string(envelope_kind kind);
+
+} // namespace peer
+} // namespace almondline
--- /dev/null
+++ b/src/peer/internal/connection.cpp
@@ -0,0 +1,254 @@
+#include "peer/internal/connection.h"
+
+#include "peer/frame.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace almondline::peer {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+// The body is read in steps, so that a header alone does not allocate the length that it claims.
+constexpr std::size_t read_step_bytes = 64 * 1024;
+
+} // namespace
+
+connection::connection(tcp::socket socket, const clock_source& clock, const peer_settings& settings,
+                       connection_owner& owner)
+    : socket_{std::move(socket)}, writer_wakeup_{socket_.get_executor()}, clock_{clock},
+      settings_{settings}, owner_{&owner}, opened_{clock.now()}, last_activity_{opened_}
+{
+    boost::system::error_code ec;
+    const auto remote = socket_.remote_endpoint(ec);
+    if (!ec) {
+        remote_address_ = remote.address().to_string() + ":" + std::to_string(remote.port());
+    }
+}
+
+void connection::start(queued_frame greeting)
+{
+    boost::system::error_code ec;
+    socket_.set_option(tcp::no_delay{true}, ec);
+    const auto executor = socket_.get_executor();
+    asio::co_spawn(executor, read_loop(shared_from_this()), asio::detached);
+    asio::co_spawn(executor, write_loop(shared_from_this(), std::move(greeting)), asio::detached);
+}
+
+void connection::connect(const tcp::endpoint& address, queued_frame greeting)
+{
+    remote_address_ = address.address().to_string() + ":" + std::to_string(address.port());
+    asio::co_spawn(socket_.get_executor(),
+                   run_outgoing(shared_from_this(), address, std::move(greeting)), asio::detached);
+}
+
+asio::awaitable<void> connection::run_outgoing(std::shared_ptr<connection> /*self*/,
+                                               tcp::endpoint address, queued_frame greeting)
+{
+    const auto [ec] = co_await socket_.async_connect(address, use_tuple);
+    if (!is_open_) {
+        co_return;
+    }
+    if (ec) {
+        close("connect: " + ec.message());
+        co_return;
+    }
+    start(std::move(greeting));
+}
+
+asio::awaitable<void> connection::read_loop(std::shared_ptr<connection> /*self*/)
+{
+    std::string body;
+    while (is_open_) {
+        std::array<char, frame_header_bytes> header{};
+        const auto [ec, n] = co_await asio::async_read(socket_, asio::buffer(header), use_tuple);
+        if (ec) {
+            close(n == 0 ? "closed by peer" : "truncated frame");
+            co_return;
+        }
+        if (!is_open_) {
+            co_return;
+        }
+        std::size_t body_bytes = 0;
+        const std::string_view header_view{header.data(), header.size()};
+        if (decode_header(header_view, body_bytes) != frame_status::complete) {
+            ++owner_->counters().bad_frames;
+            close("frame of " + std::to_string(body_bytes) + " bytes is above the limit");
+            co_return;
+        }
+        frame_started_ = clock_.now();
+        const bool is_read = co_await read_body(body_bytes, body);
+        frame_started_.reset();
+        if (!is_read || !is_open_) {
+            close("truncated frame");
+            co_return;
+        }
+        last_activity_ = clock_.now();
+        unanswered_since_.reset();
+        if (!body.empty() && !owed_since_) {
+            owed_since_ = last_activity_;
+        }
+        const auto reason = owner_->receive(*this, body);
+        if (!reason.empty()) {
+            close(reason);
+        }
+    }
+}
+
+asio::awaitable<bool> connection::read_body(std::size_t body_bytes, std::string& body)
+{
+    body.clear();
+    while (body.size() < body_bytes) {
+        const auto start = body.size();
+        body.resize(std::min(body_bytes, start + read_step_bytes));
+        const auto buf = asio::buffer(body.data() + start, body.size() - start);
+        const auto [ec, n] = co_await asio::async_read(socket_, buf, use_tuple);
+        if (ec) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<void> connection::write_loop(std::shared_ptr<connection> /*self*/,
+                                             queued_frame greeting)
+{
+    bool is_written = co_await write_frame(std::move(greeting));
+    while (is_written && is_open_) {
+        if (!is_established_ || queue_.empty()) {
+            writer_wakeup_.expires_at(asio::steady_timer::time_point::max());
+            co_await writer_wakeup_.async_wait(use_tuple);
+            continue;
+        }
+        auto frame = std::move(queue_.front());
+        queue_.pop_front();
+        queued_bytes_ -= frame.bytes.size();
+        is_written = co_await write_frame(std::move(frame));
+    }
+}
+
+asio::awaitable<bool> connection::write_frame(queued_frame frame)
+{
+    const auto now = clock_.now();
+    write_started_ = now;
+    // Both are noted before the write: what arrives while it lasts does not answer this frame, and
+    // this frame may have left before what arrives.
+    owed_since_.reset();
+    // The peer does not answer an empty frame.
+    if (!unanswered_since_ && frame.bytes.size() > frame_header_bytes) {
+        unanswered_since_ = now;
+    }
+    const auto buf = asio::buffer(frame.bytes);
+    const auto [ec, n] = co_await asio::async_write(socket_, buf, use_tuple);
+    write_started_.reset();
+    if (!is_open_) {
+        co_return false;
+    }
+    if (ec) {
+        close("write: " + ec.message());
+        co_return false;
+    }
+    auto& counter = owner_->counters().sent[static_cast<std::size_t>(frame.kind)];
+    ++counter.messages;
+    counter.bytes += n;
+    last_activity_ = clock_.now();
+    co_return true;
+}
+
+void connection::enqueue(queued_frame frame)
+{
+    queued_bytes_ += frame.bytes.size();
+    queue_.push_back(std::move(frame));
+    while (queue_.size() > settings_.max_queued_messages ||
+           (queued_bytes_ > settings_.max_queued_bytes && queue_.size() > 1)) {
+        queued_bytes_ -= queue_.front().bytes.size();
+        queue_.pop_front();
+        if (owner_ != nullptr) {
+            ++owner_->counters().dropped_queue_full;
+        }
+    }
+    writer_wakeup_.cancel();
+}
+
+void connection::establish(std::string peer_id, std::int64_t incarnation)
+{
+    peer_id_ = std::move(peer_id);
+    incarnation_ = incarnation;
+    is_established_ = true;
+    writer_wakeup_.cancel();
+}
+
+void connection::close(std::string_view reason)
+{
+    if (!is_open_) {
+        return;
+    }
+    auto* owner = owner_;
+    detach();
+    if (owner != nullptr) {
+        owner->note_closed(*this, reason);
+    }
+}
+
+void connection::detach()
+{
+    is_open_ = false;
+    owner_ = nullptr;
+    boost::system::error_code ec;
+    socket_.close(ec);
+    writer_wakeup_.cancel();
+}
+
+std::deque<queued_frame> connection::take_unsent()
+{
+    queued_bytes_ = 0;
+    return std::exchange(queue_, {});
+}
+
+std::string_view connection::overdue(steady_time now) const
+{
+    if (is_established_ && now - last_activity_ >= settings_.idle_timeout) {
+        return "idle";
+    }
+    if (!is_established_ && now - opened_ >= settings_.handshake_timeout) {
+        return "handshake timeout";
+    }
+    if (write_started_ && now - *write_started_ >= settings_.write_timeout) {
+        return "write timeout";
+    }
+    if (frame_started_ && now - *frame_started_ >= settings_.frame_timeout) {
+        return "frame timeout";
+    }
+    return {};
+}
+
+bool connection::is_silent(steady_time now) const
+{
+    return is_established_ && unanswered_since_ &&
+           now - *unanswered_since_ >= settings_.silence_timeout;
+}
+
+void connection::keep_alive(steady_time now)
+{
+    if (!is_established_ || !owed_since_ || now - *owed_since_ < settings_.keepalive_delay ||
+        !queue_.empty()) {
+        return;
+    }
+    owed_since_.reset();
+    queued_frame frame;
+    encode_keepalive(frame.bytes);
+    enqueue(std::move(frame));
+}
+
+} // namespace almondline::peer
--- /dev/null
+++ b/src/peer/internal/transport_state.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "peer/internal/connection.h"
+#include "peer/peer_transport.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace almondline::peer {
+
+/// What peer_transport owns. Outlives it until its coroutines have ended.
+class transport_state final : public connection_owner,
+                              public std::enable_shared_from_this<transport_state> {
+public:
+    transport_state(boost::asio::io_context& io, const clock_source& clock, peer_settings settings,
+                    address_lookup lookup, message_handler handler);
+
+    virtual ~transport_state() = default;
+
+    void start();
+    void stop();
+    void send(const std::string& instance_id, const wire::envelope& message);
+    void tick();
+
+    std::string receive(connection& from, std::string_view body) override;
+    void note_closed(connection& which, std::string_view reason) override;
+    peer_counters& counters() override { return counters_; }
+
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    std::size_t open_connections() const { return connections_.size(); }
+    std::int64_t peer_incarnation(const std::string& instance_id) const;
+
+private:
+    /// Where frames for one instance go.
+    struct link {
+        std::shared_ptr<connection> active; ///< null if there is none
+        steady_time retry_at{};             ///< no connect before
+    };
+
+    boost::asio::awaitable<void> accept_loop(std::shared_ptr<transport_state> self);
+    boost::asio::awaitable<void> tick_loop(std::shared_ptr<transport_state> self);
+    void accept(boost::asio::ip::tcp::socket socket);
+    /// Returns null if there is no address or no room; logs why.
+    std::shared_ptr<connection> dial(const std::string& instance_id);
+    void replace(const std::string& instance_id, connection& old);
+    std::string check_greeting(connection& from, const wire::envelope& message);
+    void activate(connection& fresh);
+    void tick_connection(connection& which, steady_time now);
+    queued_frame make_greeting() const;
+
+    boost::asio::io_context& io_;
+    const clock_source& clock_;
+    const peer_settings settings_;
+    address_lookup lookup_;
+    message_handler handler_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
+    std::map<std::string, link> links_;
+    std::set<std::shared_ptr<connection>> connections_;
+    peer_counters counters_;
+    bool is_stopping_ = false;
+};
+
+} // namespace almondline::peer
