--- /dev/null
+++ b/src/routing/types/replica.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "common/clock.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace almondline::routing {
+
+/// What the instance list and the manifest say of a backend server.
+struct replica_spec {
+    std::string id;
+    std::string address;
+    std::string failure_domain;
+    std::string engine_class;
+    double prefill_rate = 10'000; ///< tokens per second, expected of its engine class
+    double decode_rate = 50;      ///< tokens per second of one stream, expected of its class
+    double kv_tokens = 0;         ///< KV cache capacity, 0: not limited
+    int max_in_flight = 1;
+    bool is_leaving = false;
+};
+
+/// A request dispatched to a replica and not finished.
+struct dispatched_work {
+    steady_time dispatched{};
+    double prompt_tokens = 0;
+    double output_tokens = 0;   ///< estimate
+    double uncached_tokens = 0; ///< prompt tokens that it was expected to compute
+    double prefill_wait = 0;    ///< s of prefill expected ahead of it
+    double batch_share = 0;     ///< in flight over max_in_flight at its dispatch
+    double kv_tokens = 0;
+    bool has_first_token = false;
+    bool is_probe = false;
+};
+
+/// Own work in progress at an earlier time, to be compared with a late load report.
+struct in_flight_sample {
+    steady_time at{};
+    int in_flight = 0;
+};
+
+/// Record that a block was used, in the order of use.
+struct block_use {
+    std::uint64_t block = 0;
+    std::uint64_t use = 0;
+};
+
+enum class replica_health {
+    healthy,
+    eased, ///< failed or silent: only single probing requests
+};
+
+/// State of one replica.
+struct replica {
+    replica_spec spec;
+    bool is_present = false;       ///< false: slot of a removed replica, to be used again
+    bool is_leaving = false;       ///< by the list or by its own report; never cleared by a report
+    double prefill_rate = 0;       ///< learned, tokens per second
+    double decode_rate = 0;        ///< learned, tokens per second of a stream that runs alone
+    int in_flight = 0;             ///< own work, known at once
+    double kv_tokens_used = 0;     ///< reserved by own work
+    steady_time prefill_free_at{}; ///< when the prefill of own work is expected to be done
+    std::unordered_map<std::string, dispatched_work> work; ///< by request id
+
+    steady_time last_report{};   ///< arrival of the last load report
+    steady_time report_taken{};  ///< when the engine took it
+    double reported_others = 0;  ///< requests in it that are not own work
+    steady_time last_progress{}; ///< first token, end of a request or load report
+    steady_time last_sample{};   ///< last observation of its speed
+    std::deque<in_flight_sample> history;
+
+    replica_health health = replica_health::healthy;
+    int failures = 0; ///< in a row
+    steady_time next_probe{};
+    int probes_in_flight = 0;
+
+    std::uint64_t cache_generation = 1; ///< raised by a gap in the cache events
+    std::uint64_t next_cache_event = 0; ///< 0: none received yet
+    std::size_t known_blocks = 0;
+    std::deque<block_use> block_uses; ///< oldest first
+};
+
+/// A replica that is believed to hold a block.
+struct block_holder {
+    std::uint32_t replica = 0; ///< index in replica_table::replicas
+    std::uint64_t generation = 0;
+    std::uint64_t use = 0; ///< last use
+};
+
+struct routing_config {
+    /// A load report counts half after this time.
+    std::chrono::milliseconds report_half_life{2000};
+    /// Work in flight and neither progress nor a report for this long: silent.
+    std::chrono::milliseconds silence_limit{3000};
+    /// Between probes of an eased replica; doubled by each failed one up to the maximum.
+    std::chrono::milliseconds probe_interval{1000};
+    std::chrono::milliseconds max_probe_interval{30'000};
+    /// A replica gets no further prompt while this much prefill is expected ahead of it. The ask
+    /// waits in the queue instead, where tiers and shares apply. Zero: no limit.
+    std::chrono::milliseconds max_prefill_wait{500};
+    /// Share of max_in_flight above the mean share of all replicas at which a prefix hit no longer
+    /// counts.
+    double affinity_slack = 0.25;
+    /// Tokens in a prefix block, 0: prompt tokens divided by the number of blocks.
+    double block_tokens = 0;
+    double kv_headroom = 0.95; ///< share of the KV capacity that is filled
+    /// Slowdown of each stream when max_in_flight streams run, over one that runs alone.
+    double batch_slowdown = 1.0;
+    double learning_rate = 0.2;            ///< weight of one observation of speed
+    std::size_t max_known_blocks = 20'000; ///< per replica
+    std::size_t max_blocks_per_prompt = 256;
+};
+
+/// Replicas of one slice.
+struct replica_table {
+    routing_config config;
+    std::vector<replica> replicas;
+    std::unordered_map<std::string, std::uint32_t> index;                       ///< by id
+    std::unordered_map<std::uint64_t, std::vector<block_holder>> block_holders; ///< by block
+    std::uint64_t next_use = 1;
+};
+
+} // namespace almondline::routing
--- /dev/null
+++ b/src/scheduling/types/queue_config.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "manifest/types/manifest.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace almondline::scheduling {
+
+/// Rules of one queue. Taken from the manifest.
+struct queue_config {
+    std::vector<tier_policy> tiers; ///< most urgent first
+    std::map<std::string, kind_policy> kinds;
+    std::map<std::string, account_policy> accounts;
+    std::size_t max_waiting = 1000;
+    /// A floor stays reserved for this long after the last arrival that it is for.
+    std::chrono::milliseconds demand_window{5000};
+    /// Bounds of a computed retry-after.
+    std::chrono::milliseconds min_retry_after{100};
+    std::chrono::milliseconds max_retry_after{60'000};
+};
+
+/// Rules for a model or plain service of a manifest.
+queue_config make_queue_config(const manifest& m, const service_policy& service);
+
+} // namespace almondline::scheduling
