Add the queue of asks: tiers, floors, fair shares, limits, shedding, deadlines

Cause: the granter needs one order for all asks of a slice. Decisions: capacity is learned as slots x mean cost / mean holding time (Little's law) instead of a rate of finished work, because that rate is the offered load when the queue is idle and would refuse the first burst. Deadline and account refusals have codes of their own and are no sheds.

--- /dev/null
+++ b/src/scheduling/internal/order.cpp
@@ -0,0 +1,275 @@
+#include "scheduling/internal/order.h"
+
+#include <algorithm>
+
+namespace almondline::scheduling {
+
+namespace {
+
+// A weight of zero or less would stop the account or kind for good.
+constexpr double min_weight = 1e-3;
+
+template <class T>
+void index_start(ordered_index<T>& order, T& item, double start)
+{
+    if (item.is_active) {
+        order.erase({item.start, item.number, &item});
+    }
+    item.start = start;
+    item.is_active = true;
+    order.insert({start, item.number, &item});
+}
+
+template <class T>
+void unindex_start(ordered_index<T>& order, T& item)
+{
+    if (item.is_active) {
+        order.erase({item.start, item.number, &item});
+        item.is_active = false;
+    }
+}
+
+void activate(flow& of)
+{
+    kind_queue& kind = *of.parent;
+    if (!of.is_active) {
+        index_start(kind.order, of, std::max(kind.virtual_time, of.finish));
+    }
+    if (!kind.is_active) {
+        index_start(kind.parent->order, kind, std::max(kind.parent->virtual_time, kind.finish));
+    }
+}
+
+void deactivate(flow& of)
+{
+    kind_queue& kind = *of.parent;
+    unindex_start(kind.order, of);
+    if (kind.order.empty()) {
+        unindex_start(kind.parent->order, kind);
+    }
+}
+
+void count_ready(flow& of, std::size_t n, bool is_added)
+{
+    for (floor_state* floor : {&of.parent->parent->floor, of.parent->floor}) {
+        floor->ready = is_added ? floor->ready + n : floor->ready - n;
+    }
+}
+
+void update_load(tier_queue& tier, tier_account& account)
+{
+    tier.by_load.erase({account.indexed_load, account.number, &account});
+    if (account.asks.empty()) {
+        return;
+    }
+    account.indexed_load = (account.waiting_cost + account.running_cost) / account.account->weight;
+    tier.by_load.insert({account.indexed_load, account.number, &account});
+}
+
+account_state& find_account(queue_state& queue, const std::string& name)
+{
+    const auto [it, is_new] = queue.accounts.try_emplace(name);
+    if (is_new) {
+        it->second.name = name;
+        const auto policy = queue.config.accounts.find(name);
+        if (policy != queue.config.accounts.end()) {
+            it->second.weight = std::max(min_weight, policy->second.weight);
+            it->second.max_in_progress = std::max(0, policy->second.max_in_progress);
+        }
+    }
+    return it->second;
+}
+
+kind_queue& find_kind(queue_state& queue, tier_queue& tier, const std::string& name)
+{
+    const auto [it, is_new] = tier.kinds.try_emplace(name);
+    kind_queue& kind = it->second;
+    if (is_new) {
+        kind.parent = &tier;
+        kind.name = name;
+        kind.number = queue.next_number++;
+        kind.floor = &queue.kind_floors[name];
+        const auto policy = queue.config.kinds.find(name);
+        if (policy != queue.config.kinds.end()) {
+            kind.weight = std::max(min_weight, policy->second.weight);
+        }
+    }
+    return kind;
+}
+
+} // namespace
+
+flow& find_flow(queue_state& queue, int tier, const std::string& kind, const std::string& account)
+{
+    const int last = static_cast<int>(queue.tiers.size()) - 1;
+    tier_queue& in = queue.tiers[static_cast<std::size_t>(std::clamp(tier, 0, last))];
+    kind_queue& parent = find_kind(queue, in, kind);
+    const auto [it, is_new] = parent.flows.try_emplace(account);
+    flow& found = it->second;
+    if (is_new) {
+        found.parent = &parent;
+        found.number = queue.next_number++;
+        found.account = &find_account(queue, account);
+        found.account->flows.push_back(&found);
+        tier_account& sharing = in.accounts[account];
+        if (sharing.account == nullptr) {
+            sharing.account = found.account;
+            sharing.number = queue.next_number++;
+        }
+        found.sharing = &sharing;
+    }
+    return found;
+}
+
+waiting_ask& insert_waiting(queue_state& queue, flow& to, ask what, std::uint64_t sequence)
+{
+    const auto [it, is_new] = queue.waiting.try_emplace(what.request_id);
+    waiting_ask& entry = it->second;
+    tier_queue& tier = *to.parent->parent;
+    tier_account& sharing = *to.sharing;
+    const double cost = what.cost;
+    entry.in = &to;
+    entry.sequence = sequence;
+    entry.latest_start = what.deadline == steady_time{} ? steady_time::max()
+                                                        : what.deadline - what.estimated_service;
+    entry.queued_before = sharing.cost_entered;
+    entry.what = std::move(what);
+    queue.by_sequence.emplace(sequence, &entry);
+    to.asks.emplace(sequence, &entry);
+    if (sharing.asks.empty()) {
+        tier.active_weight += to.account->weight;
+    }
+    sharing.asks.emplace(sequence, &entry);
+    sharing.waiting_cost += cost;
+    sharing.cost_entered += cost;
+    update_load(tier, sharing);
+    tier.by_latest_start.emplace(entry.latest_start, sequence);
+    tier.waiting += 1;
+    tier.waiting_cost += cost;
+    to.account->waiting += 1;
+    if (!to.account->is_blocked) {
+        count_ready(to, 1, true);
+        activate(to);
+    }
+    return entry;
+}
+
+ask remove_waiting(queue_state& queue, waiting_ask& entry)
+{
+    flow& of = *entry.in;
+    tier_queue& tier = *of.parent->parent;
+    tier_account& sharing = *of.sharing;
+    const double cost = entry.what.cost;
+    of.asks.erase(entry.sequence);
+    if (!of.account->is_blocked) {
+        count_ready(of, 1, false);
+    }
+    if (of.asks.empty()) {
+        deactivate(of);
+    }
+    sharing.asks.erase(entry.sequence);
+    sharing.cost_left += cost;
+    // Exactly zero when empty, so that rounding errors do not add up.
+    sharing.waiting_cost = sharing.asks.empty() ? 0 : sharing.waiting_cost - cost;
+    update_load(tier, sharing);
+    tier.waiting -= 1;
+    tier.waiting_cost = tier.waiting == 0 ? 0 : tier.waiting_cost - cost;
+    if (sharing.asks.empty()) {
+        tier.active_weight = tier.waiting == 0 ? 0 : tier.active_weight - of.account->weight;
+    }
+    tier.by_latest_start.erase({entry.latest_start, entry.sequence});
+    of.account->waiting -= 1;
+    queue.by_sequence.erase(entry.sequence);
+    ask what = std::move(entry.what);
+    queue.waiting.erase(what.request_id);
+    return what;
+}
+
+waiting_ask* head_of(const tier_queue& tier)
+{
+    return tier.order.empty() ? nullptr : head_of(*std::get<2>(*tier.order.begin()));
+}
+
+waiting_ask* head_of(const kind_queue& kind)
+{
+    if (kind.order.empty()) {
+        return nullptr;
+    }
+    return std::get<2>(*kind.order.begin())->asks.begin()->second;
+}
+
+void charge_pick(flow& of, double cost)
+{
+    kind_queue& kind = *of.parent;
+    tier_queue& tier = *kind.parent;
+    tier.virtual_time = std::max(tier.virtual_time, kind.start);
+    kind.virtual_time = std::max(kind.virtual_time, of.start);
+    kind.finish = kind.start + cost / kind.weight;
+    of.finish = of.start + cost / of.account->weight;
+    index_start(tier.order, kind, kind.finish);
+    index_start(kind.order, of, of.finish);
+}
+
+void charge_correction(flow& of, double difference)
+{
+    kind_queue& kind = *of.parent;
+    of.finish += difference / of.account->weight;
+    kind.finish += difference / kind.weight;
+    if (of.is_active) {
+        index_start(kind.order, of, of.start + difference / of.account->weight);
+    }
+    if (kind.is_active) {
+        index_start(kind.parent->order, kind, kind.start + difference / kind.weight);
+    }
+}
+
+void add_running(flow& of, double cost)
+{
+    of.account->in_progress += 1;
+    of.parent->floor->in_progress += 1;
+    of.parent->parent->floor.in_progress += 1;
+    of.sharing->running_cost += cost;
+    update_load(*of.parent->parent, *of.sharing);
+    update_block(*of.account);
+}
+
+void remove_running(flow& of, double cost)
+{
+    of.account->in_progress -= 1;
+    of.parent->floor->in_progress -= 1;
+    of.parent->parent->floor.in_progress -= 1;
+    of.sharing->running_cost = std::max(0.0, of.sharing->running_cost - cost);
+    update_load(*of.parent->parent, *of.sharing);
+    update_block(*of.account);
+}
+
+void update_block(account_state& account)
+{
+    const bool is_at_limit =
+        account.max_in_progress > 0 && account.in_progress >= account.max_in_progress;
+    if (is_at_limit == account.is_blocked) {
+        return;
+    }
+    account.is_blocked = is_at_limit;
+    for (flow* of : account.flows) {
+        count_ready(*of, of->asks.size(), !is_at_limit);
+        if (is_at_limit) {
+            deactivate(*of);
+        }
+        else if (!of->asks.empty()) {
+            activate(*of);
+        }
+    }
+}
+
+waiting_ask* find_victim(const queue_state& queue)
+{
+    for (auto tier = queue.tiers.rbegin(); tier != queue.tiers.rend(); ++tier) {
+        if (!tier->by_load.empty()) {
+            return std::get<2>(*tier->by_load.rbegin())->asks.rbegin()->second;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace almondline::scheduling
--- /dev/null
+++ b/src/scheduling/internal/order.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "scheduling/types/queue_state.h"
+
+/// Bookkeeping of waiting asks and their order. Each function takes a time logarithmic in the
+/// number of accounts and waiting asks.
+namespace almondline::scheduling {
+
+/// The flow of an ask, created if needed. A tier out of range counts as the nearest one.
+flow& find_flow(queue_state& queue, int tier, const std::string& kind, const std::string& account);
+
+/// Adds an ask with this sequence number.
+waiting_ask& insert_waiting(queue_state& queue, flow& to, ask what, std::uint64_t sequence);
+
+/// Removes a waiting ask and returns it.
+ask remove_waiting(queue_state& queue, waiting_ask& entry);
+
+/// Next ask of the tier, or of one kind in it, by start tag. Null if none is ready.
+waiting_ask* head_of(const tier_queue& tier);
+waiting_ask* head_of(const kind_queue& kind);
+
+/// Charges a picked ask to its kind and account. A negative cost gives a charge back.
+void charge_pick(flow& of, double cost);
+void charge_correction(flow& of, double difference);
+
+/// Counts an ask into or out of the work in progress.
+void add_running(flow& of, double cost);
+void remove_running(flow& of, double cost);
+
+/// Takes the flows of an account out of the order while it is at its limit.
+void update_block(account_state& account);
+
+/// The ask to shed: lowest tier, account furthest over its share, newest ask. Null if none waits.
+waiting_ask* find_victim(const queue_state& queue);
+
+} // namespace almondline::scheduling
--- /dev/null
+++ b/src/scheduling/tests/shedding_test.cpp
@@ -0,0 +1,176 @@
+#include "scheduling/tests/queue_fixture.h"
+
+#include <doctest/doctest.h>
+#include <random>
+#include <set>
+
+using namespace almondline;
+using namespace almondline::scheduling;
+
+TEST_CASE("a full queue sheds the lowest tier, there the newest ask of the largest account")
+{
+    manual_clock clock;
+    queue_state queue = make_queue(three_tiers(4));
+    enqueue(queue, make_ask("small", 2, "s"), {1, 0}, clock.now());
+    enqueue(queue, make_ask("large1", 2, "l"), {1, 0}, clock.now());
+    enqueue(queue, make_ask("large2", 2, "l"), {1, 0}, clock.now());
+    enqueue(queue, make_ask("normal", 1, "x"), {1, 0}, clock.now());
+    const auto urgent = enqueue(queue, make_ask("urgent", 0, "x"), {1, 0}, clock.now());
+    CHECK(urgent.status == enqueue_status::accepted);
+    REQUIRE(urgent.shed.size() == 1);
+    CHECK(urgent.shed[0].what.request_id == "large2");
+    CHECK(urgent.shed[0].why.code == code_shed);
+    CHECK(urgent.shed[0].why.run == verdict::not_run);
+    CHECK(urgent.shed[0].why.retry_after > 0ms);
+    const auto own = enqueue(queue, make_ask("large3", 2, "l"), {1, 0}, clock.now());
+    CHECK(own.status == enqueue_status::refused);
+    CHECK(own.shed.empty());
+    const auto other = enqueue(queue, make_ask("normal2", 1, "y"), {1, 0}, clock.now());
+    CHECK(other.status == enqueue_status::accepted);
+    CHECK(other.shed.size() == 1);
+}
+
+TEST_CASE("an arrival with a free reserved slot is accepted although the queue is full")
+{
+    manual_clock clock;
+    queue_state queue = make_queue(three_tiers(2));
+    for (int i = 0; i < 5; ++i) {
+        enqueue(queue, make_ask("u" + std::to_string(i), 0, "a"), {10, 0}, clock.now());
+    }
+    const auto result = enqueue(queue, make_ask("batch", 2, "a"), {10, 1}, clock.now());
+    CHECK(result.status == enqueue_status::accepted);
+    CHECK(result.shed.empty());
+    CHECK(pick(queue, {10, 1}, clock.now())->request_id == "batch");
+}
+
+TEST_CASE("an ask that cannot meet its deadline is refused at once, with a time to retry")
+{
+    manual_clock clock;
+    queue_state queue = make_queue(three_tiers(1000));
+    // Learn a capacity of 2 slots with 10 units per s each.
+    for (int i = 0; i < 10; ++i) {
+        enqueue(queue, make_ask("l" + std::to_string(i), 0, "a", 10), {2, 1}, clock.now());
+        REQUIRE(pick(queue, {2, 1}, clock.now()));
+        clock.advance(1s);
+        finish(queue, "l" + std::to_string(i), 10, clock.now());
+    }
+    CHECK(status(queue).cost_per_second == doctest::Approx(20));
+    for (int i = 0; i < 20; ++i) {
+        enqueue(queue, make_ask("w" + std::to_string(i), 0, "a", 10), {2, 0}, clock.now());
+    }
+    ask late = make_ask("late", 0, "a", 10);
+    late.deadline = clock.now() + 6s;
+    late.estimated_service = 1s;
+    const auto refused = enqueue(queue, late, {2, 0}, clock.now());
+    CHECK(refused.why.code == code_deadline); // 200 units wait: 10 s
+    CHECK(refused.why.retry_after >= 4s);
+    CHECK(refused.why.retry_after <= 6s);
+    late.deadline = clock.now() + 500ms;
+    CHECK(enqueue(queue, late, {2, 2}, clock.now()).why.retry_after == 0ms);
+    // Another account's share is not behind the backlog.
+    late.account = "b";
+    late.deadline = clock.now() + 6s;
+    CHECK(enqueue(queue, late, {2, 0}, clock.now()).status == enqueue_status::accepted);
+}
+
+TEST_CASE("waiting asks expire when they can no longer start in time, also when predicted")
+{
+    manual_clock clock;
+    queue_state queue = make_queue(three_tiers(1000));
+    ask what = make_ask("a", 0, "a");
+    what.deadline = clock.now() + 3s;
+    what.estimated_service = 1s;
+    enqueue(queue, what, {1, 0}, clock.now());
+    CHECK(expire(queue, clock.now() + 1999ms).empty());
+    const auto expired = expire(queue, clock.now() + 2001ms);
+    REQUIRE(expired.size() == 1);
+    CHECK(expired[0].why.code == code_deadline);
+    for (int i = 0; i < 5; ++i) {
+        enqueue(queue, make_ask("l" + std::to_string(i), 0, "a", 10), {1, 1}, clock.now());
+        REQUIRE(pick(queue, {1, 1}, clock.now()));
+        clock.advance(1s);
+        finish(queue, "l" + std::to_string(i), 10, clock.now());
+    }
+    ask batch = make_ask("batch", 2, "b", 10);
+    batch.deadline = clock.now() + 20s;
+    CHECK(enqueue(queue, batch, {1, 0}, clock.now()).status == enqueue_status::accepted);
+    for (int i = 0; i < 30; ++i) {
+        enqueue(queue, make_ask("u" + std::to_string(i), 0, "a", 100), {1, 0}, clock.now());
+    }
+    // The floor of the tier still serves it: it is kept.
+    CHECK(expire(queue, clock.now()).empty());
+    queue_config no_floors = three_tiers(1000);
+    no_floors.tiers[2].floor = 0;
+    reconfigure(queue, no_floors, clock.now());
+    CHECK(expire(queue, clock.now()).size() == 1);
+}
+
+TEST_CASE("random operations never invert shedding and leave no trace when drained")
+{
+    std::mt19937 random{7};
+    manual_clock clock;
+    queue_config config = three_tiers(40);
+    config.accounts["c0"] = {"c0", 1, 3, {}, {}};
+    queue_state queue = make_queue(config);
+    constexpr int slots = 12;
+    std::set<std::string> running;
+    std::multiset<int> waiting_tiers;
+    int sheds = 0;
+    const auto free_slots = [&] { return slots - static_cast<int>(running.size()); };
+    const auto account_for = [&](const std::vector<shed_ask>& gone) {
+        for (const shed_ask& each : gone) {
+            waiting_tiers.erase(waiting_tiers.find(each.what.tier));
+            sheds += each.why.code == code_shed ? 1 : 0;
+            const bool is_inverted = each.why.code == code_shed && !waiting_tiers.empty() &&
+                                     *waiting_tiers.rbegin() > each.what.tier;
+            REQUIRE_FALSE(is_inverted);
+        }
+    };
+    for (int i = 0; i < 20'000; ++i) {
+        clock.advance(10ms);
+        ask what = make_ask("r" + std::to_string(i), static_cast<int>(random() % 3),
+                            "c" + std::to_string(random() % 5), 1 + random() % 100,
+                            random() % 4 == 0 ? "check" : "draft");
+        what.deadline = clock.now() + std::chrono::milliseconds{random() % 20'000};
+        const int tier = what.tier;
+        const auto result = enqueue(queue, std::move(what), {slots, free_slots()}, clock.now());
+        if (result.status == enqueue_status::accepted) {
+            waiting_tiers.insert(tier);
+        }
+        // The new ask goes last if several are shed to come back within the bound.
+        account_for(result.shed);
+        if (result.why.code == code_shed) {
+            sheds += 1;
+            REQUIRE((waiting_tiers.empty() || *waiting_tiers.rbegin() <= tier));
+        }
+        account_for(expire(queue, clock.now()));
+        while (const auto next = pick(queue, {slots, free_slots()}, clock.now())) {
+            waiting_tiers.erase(waiting_tiers.find(next->tier));
+            running.insert(next->request_id);
+            if (random() % 10 == 0) {
+                put_back(queue, *next, clock.now());
+                running.erase(next->request_id);
+                waiting_tiers.insert(next->tier);
+                break;
+            }
+        }
+        if (!running.empty() && random() % 2 == 0) {
+            finish(queue, *running.begin(), 1 + random() % 100, clock.now());
+            running.erase(running.begin());
+        }
+        REQUIRE(status(queue).waiting == waiting_tiers.size());
+        REQUIRE(status(queue).in_progress == static_cast<int>(running.size()));
+    }
+    CHECK(sheds > 100);
+    for (const std::string& id : running) {
+        finish(queue, id, 1, clock.now());
+    }
+    while (const auto next = pick(queue, {slots, slots}, clock.now())) {
+        finish(queue, next->request_id, 1, clock.now());
+    }
+    CHECK(status(queue).waiting == 0);
+    for (const tier_status& tier : status(queue).tiers) {
+        CHECK(tier.in_progress == 0);
+        CHECK(tier.waiting_cost == 0);
+    }
+}
--- a/src/scheduling/types/queue_state.h
+++ b/src/scheduling/types/queue_state.h
@@ -137,11 +137,13 @@
     std::unordered_map<std::string, waiting_ask> waiting; ///< by request id
     std::unordered_map<std::uint64_t, waiting_ask*> by_sequence;
     std::unordered_map<std::string, running_record> running; ///< by request id
-    std::uint64_t next_sequence = 1ULL << 32U; ///< lower numbers are for asks put back first
+    std::uint64_t next_sequence = 1ULL << 32U;
+    std::uint64_t front_sequence = 1ULL << 32U; ///< counts down, for asks put back
     std::uint64_t next_number = 1;
     int last_total_slots = 0;
-    double mean_cost = 0; ///< of finished asks
-    double mean_held = 0; ///< s between pick and finish of finished asks
+    double mean_cost = 0;       ///< of finished asks
+    double mean_held = 0;       ///< s between pick and finish of finished asks
+    std::uint64_t finished = 0; ///< asks that the two means were learned from
 };
 
 } // namespace almondline::scheduling
