Add stand-ins of the engine, the platform and a plain service

Tests and the demonstration need the systems that almondline talks to.

The engine runs a batch model on a timer, independent of the connections, so that a stream whose connection broke can be resumed. Tying generation to the connection was ruled out for that reason. Checked by hand with curl: plain and streamed answers, resume, watch, conflicts, refused connections, exit code 0 on SIGTERM.

--- /dev/null
+++ b/src/standins/internal/journal.cpp
@@ -0,0 +1,61 @@
+#include "standins/internal/journal.h"
+
+#include "common/hash.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace almondline::standins {
+
+namespace json = boost::json;
+
+journal_entry& entry_of(journal& log, const std::string& request_id)
+{
+    const auto it = log.entries.find(request_id);
+    if (it != log.entries.end()) {
+        return it->second;
+    }
+    if (log.entries.size() < max_journal_entries) {
+        return log.entries[request_id];
+    }
+    ++log.dropped;
+    static thread_local journal_entry overflow;
+    overflow = {};
+    return overflow;
+}
+
+void note_dispatch(journal& log, const std::string& request_id, const std::string& body,
+                   system_time now)
+{
+    auto& it = entry_of(log, request_id);
+    ++it.dispatched;
+    it.digest = sha256_hex(body);
+    const auto since =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    it.arrived_ms.push_back(since.count());
+}
+
+std::string to_json(const journal& log)
+{
+    json::array requests;
+    for (const auto& [id, it] : log.entries) {
+        json::object line;
+        line["id"] = id;
+        line["dispatched"] = it.dispatched;
+        line["ran"] = it.ran;
+        line["completed"] = it.completed;
+        line["refused"] = it.refused;
+        line["resumed"] = it.resumed;
+        line["cancelled"] = it.cancelled;
+        line["digest"] = it.digest;
+        line["arrived_ms"] = json::array(it.arrived_ms.begin(), it.arrived_ms.end());
+        requests.emplace_back(std::move(line));
+    }
+    json::object out;
+    out["requests"] = std::move(requests);
+    out["dropped"] = log.dropped;
+    return json::serialize(out);
+}
+
+} // namespace almondline::standins
--- /dev/null
+++ b/src/standins/internal/journal.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "common/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace almondline::standins {
+
+/// What a backend server did for one request id.
+struct journal_entry {
+    int dispatched = 0; ///< requests that arrived with this id, resumes not counted
+    int ran = 0;        ///< times that processing began
+    int completed = 0;
+    int refused = 0; ///< answered before processing
+    int resumed = 0;
+    int cancelled = 0;
+    std::string digest;                   ///< SHA-256 of the last body
+    std::vector<std::int64_t> arrived_ms; ///< wall-clock times of the dispatches, Unix epoch
+};
+
+/// Requests by id. Holds at most max_journal_entries; later ids are counted as dropped.
+struct journal {
+    std::unordered_map<std::string, journal_entry> entries;
+    std::uint64_t dropped = 0;
+};
+
+constexpr std::size_t max_journal_entries = 200'000;
+
+/// Entry of a request id. Beyond the limit, an entry that is not part of the journal.
+journal_entry& entry_of(journal& log, const std::string& request_id);
+void note_dispatch(journal& log, const std::string& request_id, const std::string& body,
+                   system_time now);
+std::string to_json(const journal& log);
+
+} // namespace almondline::standins
--- /dev/null
+++ b/src/standins/internal/prefix_cache.cpp
@@ -0,0 +1,75 @@
+#include "standins/internal/prefix_cache.h"
+
+#include "common/hash.h"
+
+#include <array>
+#include <charconv>
+
+namespace almondline::standins {
+
+std::vector<std::uint64_t> hash_blocks(std::string_view text)
+{
+    std::vector<std::uint64_t> blocks;
+    std::uint64_t previous = 0;
+    for (std::size_t at = 0; at + block_chars <= text.size(); at += block_chars) {
+        previous = stable_hash(text.substr(at, block_chars), previous);
+        blocks.push_back(previous);
+    }
+    return blocks;
+}
+
+std::string block_text(std::uint64_t block)
+{
+    std::array<char, 16> buf{};
+    const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), block, 16);
+    const std::string digits{buf.data(), end};
+    return std::string(buf.size() - digits.size(), '0') + digits;
+}
+
+bool parse_block(std::string_view text, std::uint64_t& block)
+{
+    const auto* const last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, block, 16);
+    return ec == std::errc{} && end == last && text.size() == 16;
+}
+
+std::size_t match_prefix(prefix_cache& cache, const std::vector<std::uint64_t>& blocks)
+{
+    std::size_t n = 0;
+    for (const auto block : blocks) {
+        const auto it = cache.places.find(block);
+        if (it == cache.places.end()) {
+            break;
+        }
+        cache.order.splice(cache.order.begin(), cache.order, it->second);
+        ++n;
+    }
+    return n;
+}
+
+std::vector<cache_change> store_blocks(prefix_cache& cache,
+                                       const std::vector<std::uint64_t>& blocks)
+{
+    std::vector<cache_change> changes;
+    for (const auto block : blocks) {
+        const auto it = cache.places.find(block);
+        if (it != cache.places.end()) {
+            cache.order.splice(cache.order.begin(), cache.order, it->second);
+            continue;
+        }
+        if (cache.capacity == 0) {
+            continue;
+        }
+        if (cache.order.size() >= cache.capacity) {
+            changes.push_back({false, cache.order.back()});
+            cache.places.erase(cache.order.back());
+            cache.order.pop_back();
+        }
+        cache.order.push_front(block);
+        cache.places[block] = cache.order.begin();
+        changes.push_back({true, block});
+    }
+    return changes;
+}
+
+} // namespace almondline::standins
--- /dev/null
+++ b/src/standins/internal/standin_server.cpp
@@ -0,0 +1,169 @@
+#include "standins/internal/standin_server.h"
+
+#include "common/log.h"
+#include "standins/internal/faulty_exchange.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/system/system_error.hpp>
+
+namespace almondline::standins {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds reopen_retry_delay{20};
+
+http_response error_response(int status, std::string_view message)
+{
+    boost::json::object error;
+    error["message"] = message;
+    boost::json::object body;
+    body["error"] = std::move(error);
+    return json_response(status, boost::json::serialize(body));
+}
+
+bool is_control_path(std::string_view path)
+{
+    constexpr std::string_view prefix = "/standin/";
+    return path.substr(0, prefix.size()) == prefix;
+}
+
+/// Parses an order; the text of the error is empty on success.
+std::string read_order(const std::string& body, fault_order& order)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_ASSIGN(order, parse_fault_order(body));
+            return std::string{};
+        },
+        [](const parse_error& e) { return e.where + ": " + e.message; },
+        [] { return std::string{"the order could not be read"}; });
+}
+
+} // namespace
+
+standin_server::standin_server(asio::io_context& io, const endpoint_text& address,
+                               const clock_source& clock, http_handler handler)
+    : io_{io}, address_{address}, clock_{clock}, handler_{std::move(handler)}, reopen_timer_{io}
+{
+    listen();
+    port_ = server_->port();
+    address_.port = port_;
+}
+
+void standin_server::listen()
+{
+    const http_server_limits limits;
+    server_ = std::make_unique<http_server>(
+        io_, address_, limits,
+        [this](http_exchange& exchange) -> asio::awaitable<void> { return handle(exchange); });
+}
+
+void standin_server::stop()
+{
+    reopen_timer_.cancel();
+    if (server_) {
+        server_->stop_accepting();
+    }
+}
+
+void standin_server::close_listener(std::chrono::milliseconds lasting)
+{
+    if (server_) {
+        server_->stop_accepting();
+        closed_servers_.push_back(std::move(server_));
+    }
+    reopen_timer_.expires_after(lasting);
+    reopen_timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec) {
+            listen_again();
+        }
+    });
+}
+
+void standin_server::listen_again()
+{
+    try {
+        listen();
+    }
+    catch (const boost::system::system_error& e) {
+        // The former listener may not be closed yet.
+        log_event("standin", log_level::warning, "listen-failed", {{"cause", e.what()}});
+        close_listener(reopen_retry_delay);
+    }
+}
+
+asio::awaitable<void> standin_server::handle_faults(http_exchange& exchange)
+{
+    if (exchange.request().method == "DELETE") {
+        board_.entries.clear();
+        co_await exchange.reply(json_response(200, "{}"));
+        co_return;
+    }
+    fault_order order;
+    const std::string message = read_order(exchange.request().body, order);
+    if (!message.empty()) {
+        co_await exchange.reply(error_response(400, message));
+        co_return;
+    }
+    log_event("standin", log_level::info, "fault", {{"kind", to_text(order.kind)}});
+    if (order.kind == fault_kind::silence) {
+        board_.silenced_below = next_number_;
+    }
+    else if (order.kind != fault_kind::refuse_connections) {
+        add_fault(board_, order, clock_.now());
+    }
+    co_await exchange.reply(json_response(200, "{}"));
+    if (order.kind == fault_kind::refuse_connections) {
+        close_listener(order.lasting);
+    }
+}
+
+/// Faults that come before the request is handled. False: the request has been answered or cut.
+asio::awaitable<bool> standin_server::apply_before(http_exchange& exchange)
+{
+    const std::string method = exchange.request().method;
+    const std::string path{target_path(exchange.request().target)};
+    if (const auto slow = take_fault(board_, fault_kind::delay, method, path, clock_.now())) {
+        asio::steady_timer timer{io_, slow->delay};
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    if (take_fault(board_, fault_kind::reset_before, method, path, clock_.now())) {
+        exchange.abort();
+        co_return false;
+    }
+    if (take_fault(board_, fault_kind::outage, method, path, clock_.now())) {
+        co_await exchange.reply(error_response(503, "outage"));
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> standin_server::handle(http_exchange& exchange)
+{
+    const auto path = target_path(exchange.request().target);
+    if (path == "/standin/faults") {
+        co_await handle_faults(exchange);
+        co_return;
+    }
+    if (path == "/standin/journal") {
+        co_await exchange.reply(json_response(200, to_json(journal_)));
+        co_return;
+    }
+    if (is_control_path(path)) {
+        co_await handler_(exchange);
+        co_return;
+    }
+    faulty_exchange faulty{exchange, board_, clock_, next_number_++};
+    const bool can_continue = co_await apply_before(faulty);
+    if (can_continue) {
+        co_await handler_(faulty);
+    }
+}
+
+} // namespace almondline::standins
--- /dev/null
+++ b/src/standins/internal/wait_signal.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "common/clock.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+
+namespace almondline::standins {
+
+/// Wakes the coroutines that wait for a change. For one thread only.
+class wait_signal {
+public:
+    /// Returns after the next notify, or at the deadline.
+    boost::asio::awaitable<void> wait_until(steady_time deadline);
+    void notify();
+
+private:
+    std::set<boost::asio::steady_timer*> waiting_;
+};
+
+} // namespace almondline::standins
--- /dev/null
+++ b/src/standins/plain_service.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <memory>
+
+namespace almondline::standins {
+
+struct plain_options {
+    endpoint_text listen{"127.0.0.1", 0};
+    std::chrono::milliseconds work{5}; ///< time that each call takes
+};
+
+/// Stand-in of a plain service. Answers any call with the method, the path, the digest of the body
+/// and how often this request id ran. The io_context must run on one thread.
+class plain_service {
+public:
+    /// Listens at once. Throws boost::system::system_error if the address can't be bound.
+    plain_service(boost::asio::io_context& io, const clock_source& clock,
+                  const plain_options& options);
+    ~plain_service();
+
+    std::uint16_t port() const;
+    void stop();
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace almondline::standins
