--- /dev/null
+++ b/src/manifest/parse.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "common/types/parse_error.h"
+#include "manifest/types/manifest.h"
+
+#include <boost/leaf/result.hpp>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace almondline {
+
+/// Largest manifest text in bytes. 840 accounts with 5 keys each take about 0.5 MB.
+constexpr std::size_t max_manifest_bytes = 8'000'000;
+
+/// Parses and checks the text of a manifest, and fills in its digest. The parse_error names the
+/// file, the line of a JSON fault or the path of a faulty member, and the reason. The first fault
+/// is reported. docs/manifest.md describes the schema.
+boost::leaf::result<manifest> parse_manifest(std::string_view text, const std::string& file);
+
+/// The same for callers outside of a LEAF context. Fills in error and returns nothing on a fault.
+std::optional<manifest> try_parse_manifest(std::string_view text, const std::string& file,
+                                           parse_error& error);
+
+} // namespace almondline
