Add the choice among unlike replicas

Cause: load reports lag, engines differ and slow down, and prefixes are cached on single replicas; least reported load sees none of it in time. Silence counts only for replicas that report load: a long request to a plain service looks the same. Tests: 10 cases. The first expectation of the spreading test (slow replica used below 12 of 16 slots at twice the speed) contradicted the model, by which a stream on the full fast replica equals one alone on the slow one; the speeds were set to 1.5:1 and the bound kept.

--- /dev/null
+++ b/src/routing/choice.cpp
@@ -0,0 +1,155 @@
+#include "routing/internal/cache_knowledge.h"
+#include "routing/internal/load.h"
+#include "routing/routing.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace almondline::routing {
+
+namespace {
+
+candidate_state state_of(const replica_table& table, const replica& of,
+                         const request_shape& request, steady_time now)
+{
+    if (of.is_leaving || of.spec.is_leaving) {
+        return candidate_state::leaving;
+    }
+    const auto& excluded = request.excluded;
+    if (std::find(excluded.begin(), excluded.end(), of.spec.id) != excluded.end()) {
+        return candidate_state::excluded;
+    }
+    if (is_probe_due(table, of, now)) {
+        return candidate_state::probe;
+    }
+    if (is_eased(table, of, now)) {
+        return candidate_state::eased;
+    }
+    if (used_slots(table, of, now) >= slot_limit(of)) {
+        return candidate_state::full;
+    }
+    if (!fits_kv(table, of, request)) {
+        return candidate_state::out_of_kv;
+    }
+    const std::chrono::duration<double> limit = table.config.max_prefill_wait;
+    if (limit.count() > 0 && of.in_flight > 0 && prefill_wait(of, now) > limit.count()) {
+        return candidate_state::prefill_busy;
+    }
+    return candidate_state::usable;
+}
+
+/// Share of the slots in use, over all replicas that may get work.
+double mean_share(const replica_table& table)
+{
+    double used = 0;
+    double all = 0;
+    for (const replica& each : table.replicas) {
+        if (each.is_present && !each.is_leaving) {
+            used += each.in_flight;
+            all += each.spec.max_in_flight;
+        }
+    }
+    return all > 0 ? used / all : 0;
+}
+
+struct expectation {
+    double hit_tokens = 0;
+    double first_token = 0; ///< s
+    double score = 0;       ///< s
+};
+
+expectation expect(const replica_table& table, const replica& of, const request_shape& request,
+                   double hit_tokens, double mean, steady_time now)
+{
+    const double share = static_cast<double>(of.in_flight + 1) / of.spec.max_in_flight;
+    expectation result;
+    // A popular prefix must not gather all of its requests on the replica that saw it first.
+    result.hit_tokens = share <= mean + table.config.affinity_slack ? hit_tokens : 0;
+    const double prefill = (request.prompt_tokens - result.hit_tokens) / of.prefill_rate;
+    const double others = others_in_flight(table, of, now) / of.spec.max_in_flight;
+    result.first_token = prefill_wait(of, now) + prefill;
+    result.score =
+        result.first_token + decode_time(table, of, request.output_tokens, share + others);
+    return result;
+}
+
+std::string describe(const choice& chosen, bool is_probe, std::size_t usable)
+{
+    if (is_probe) {
+        return "probe of a replica that failed, was silent or was slow";
+    }
+    char text[160];
+    const int n = std::snprintf(
+        text, sizeof text, "least expected time %.3f s of %zu usable, first token %.3f s, hit %.0f",
+        chosen.score, usable, chosen.first_token, chosen.hit_tokens);
+    return {text, static_cast<std::size_t>(std::clamp(n, 0, static_cast<int>(sizeof text) - 1))};
+}
+
+} // namespace
+
+std::optional<choice> choose(const replica_table& table, const request_shape& request,
+                             steady_time now)
+{
+    const std::vector<double> hits = expected_hits(table, request);
+    const double mean = mean_share(table);
+    choice best;
+    const replica* chosen = nullptr;
+    bool is_probe = false;
+    std::size_t usable = 0;
+    best.candidates.reserve(table.replicas.size());
+    for (std::size_t i = 0; i < table.replicas.size(); ++i) {
+        const replica& each = table.replicas[i];
+        if (!each.is_present) {
+            continue;
+        }
+        candidate& entry = best.candidates.emplace_back();
+        entry.id = each.spec.id;
+        entry.state = state_of(table, each, request, now);
+        if (entry.state != candidate_state::usable && entry.state != candidate_state::probe) {
+            continue;
+        }
+        const expectation expected = expect(table, each, request, hits[i], mean, now);
+        entry.score = expected.score;
+        entry.hit_tokens = expected.hit_tokens;
+        usable += entry.state == candidate_state::usable ? 1 : 0;
+        const bool is_due = entry.state == candidate_state::probe;
+        const bool is_better = chosen == nullptr || (is_due && !is_probe) ||
+                               (is_due == is_probe && expected.score < best.score);
+        if (is_better) {
+            chosen = &each;
+            is_probe = is_due;
+            best.score = expected.score;
+            best.hit_tokens = expected.hit_tokens;
+            best.first_token = expected.first_token;
+        }
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    best.id = chosen->spec.id;
+    best.address = chosen->spec.address;
+    best.reason = describe(best, is_probe, usable);
+    return best;
+}
+
+slot_counts count_slots(const replica_table& table, steady_time now)
+{
+    slot_counts counts;
+    for (const replica& each : table.replicas) {
+        if (!each.is_present || each.is_leaving || each.spec.is_leaving) {
+            continue;
+        }
+        if (is_eased(table, each, now)) {
+            const int probes = is_probe_due(table, each, now) ? 1 : 0;
+            counts.total += probes;
+            counts.free += probes;
+            continue;
+        }
+        const int limit = slot_limit(each);
+        counts.total += limit;
+        counts.free += std::max(0, limit - used_slots(table, each, now));
+    }
+    return counts;
+}
+
+} // namespace almondline::routing
--- /dev/null
+++ b/src/routing/internal/cache_knowledge.cpp
@@ -0,0 +1,146 @@
+#include "routing/internal/cache_knowledge.h"
+
+#include <algorithm>
+
+namespace almondline::routing {
+
+namespace {
+
+// Blocks looked up per choice. Blocks are chained, so a sample finds the end of the common prefix
+// to within one step, and the time of a choice does not grow with the prompt.
+constexpr std::size_t lookups_per_choice = 24;
+// Of blocks known from before a gap in the events: they may have been evicted meanwhile.
+constexpr double trust_after_gap = 0.5;
+// Uses kept per known block. Repeated uses of the same blocks would make the list grow otherwise.
+constexpr std::size_t uses_per_block = 4;
+
+block_holder* find_holder(std::vector<block_holder>& holders, std::uint32_t index)
+{
+    const auto it = std::find_if(holders.begin(), holders.end(),
+                                 [&](const block_holder& each) { return each.replica == index; });
+    return it == holders.end() ? nullptr : &*it;
+}
+
+std::size_t block_capacity(const replica_table& table, const replica& of)
+{
+    std::size_t limit = table.config.max_known_blocks;
+    if (table.config.block_tokens > 0 && of.kv_capacity > 0) {
+        limit =
+            std::min(limit, static_cast<std::size_t>(of.kv_capacity / table.config.block_tokens));
+    }
+    return std::max<std::size_t>(1, limit);
+}
+
+void forget_least_recent(replica_table& table, std::uint32_t index)
+{
+    replica& of = table.replicas[index];
+    const std::size_t limit = block_capacity(table, of);
+    while (!of.block_uses.empty() &&
+           (of.known_blocks > limit || of.block_uses.size() > uses_per_block * limit)) {
+        const block_use oldest = of.block_uses.front();
+        of.block_uses.pop_front();
+        const auto found = table.block_holders.find(oldest.block);
+        if (found == table.block_holders.end()) {
+            continue;
+        }
+        const block_holder* holder = find_holder(found->second, index);
+        if (holder != nullptr && holder->use == oldest.use) {
+            forget_block(table, index, oldest.block);
+        }
+    }
+}
+
+double tokens_per_block(const replica_table& table, const request_shape& request)
+{
+    if (table.config.block_tokens > 0) {
+        return table.config.block_tokens;
+    }
+    return request.prompt_tokens / static_cast<double>(request.prefix_blocks.size());
+}
+
+} // namespace
+
+void note_blocks(replica_table& table, std::uint32_t index,
+                 const std::vector<std::uint64_t>& blocks)
+{
+    replica& of = table.replicas[index];
+    const std::size_t n = std::min(blocks.size(), table.config.max_blocks_per_prompt);
+    for (std::size_t i = 0; i < n; ++i) {
+        std::vector<block_holder>& holders = table.block_holders[blocks[i]];
+        block_holder* holder = find_holder(holders, index);
+        if (holder == nullptr) {
+            holder = &holders.emplace_back(block_holder{index, 0, 0});
+            of.known_blocks += 1;
+        }
+        holder->generation = of.cache_generation;
+        holder->use = table.next_use++;
+        of.block_uses.push_back({blocks[i], holder->use});
+    }
+    forget_least_recent(table, index);
+}
+
+void forget_block(replica_table& table, std::uint32_t index, std::uint64_t block)
+{
+    const auto found = table.block_holders.find(block);
+    if (found == table.block_holders.end()) {
+        return;
+    }
+    std::vector<block_holder>& holders = found->second;
+    block_holder* holder = find_holder(holders, index);
+    if (holder == nullptr) {
+        return;
+    }
+    *holder = holders.back();
+    holders.pop_back();
+    table.replicas[index].known_blocks -= 1;
+    if (holders.empty()) {
+        table.block_holders.erase(found);
+    }
+}
+
+void forget_all_blocks(replica_table& table, std::uint32_t index)
+{
+    replica& of = table.replicas[index];
+    for (const block_use& use : of.block_uses) {
+        forget_block(table, index, use.block);
+    }
+    of.block_uses.clear();
+}
+
+std::vector<double> expected_hits(const replica_table& table, const request_shape& request)
+{
+    std::vector<double> hits(table.replicas.size(), 0);
+    const std::size_t n =
+        std::min(request.prefix_blocks.size(), table.config.max_blocks_per_prompt);
+    if (n == 0) {
+        return hits;
+    }
+    const double tokens = tokens_per_block(table, request);
+    const std::size_t step = (n + lookups_per_choice - 1) / lookups_per_choice;
+    std::vector<std::size_t> reached(hits.size(), 0); // lookups in a row that found the replica
+    std::size_t lookup = 0;
+    for (std::size_t i = step - 1;; i = std::min(i + step, n - 1)) {
+        const auto found = table.block_holders.find(request.prefix_blocks[i]);
+        if (found == table.block_holders.end()) {
+            break;
+        }
+        for (const block_holder& holder : found->second) {
+            if (reached[holder.replica] != lookup) {
+                continue;
+            }
+            reached[holder.replica] += 1;
+            const bool is_current =
+                holder.generation == table.replicas[holder.replica].cache_generation;
+            const double trust = is_current ? 1 : trust_after_gap;
+            hits[holder.replica] =
+                std::min(request.prompt_tokens, static_cast<double>(i + 1) * tokens) * trust;
+        }
+        lookup += 1;
+        if (i == n - 1) {
+            break;
+        }
+    }
+    return hits;
+}
+
+} // namespace almondline::routing
--- /dev/null
+++ b/src/routing/replicas.cpp
@@ -0,0 +1,321 @@
+#include "routing/internal/cache_knowledge.h"
+#include "routing/internal/load.h"
+#include "routing/routing.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondline::routing {
+
+namespace {
+
+// Learned speeds stay within these multiples of the speed expected of the class, so that one
+// mistaken measurement cannot take a replica out of use.
+constexpr double slowest = 0.05;
+constexpr double fastest = 2.0;
+// Shorter times consist mostly of network and scheduling delays and say little of the speed.
+constexpr double min_learned_prefill = 0.02;
+constexpr double min_learned_output = 8;
+// Outputs from this length on count fully.
+constexpr double full_weight_output = 64;
+
+replica* find(replica_table& table, const std::string& id)
+{
+    const auto it = table.index.find(id);
+    return it == table.index.end() ? nullptr : &table.replicas[it->second];
+}
+
+std::uint32_t index_of(const replica_table& table, const replica& of)
+{
+    return static_cast<std::uint32_t>(&of - table.replicas.data());
+}
+
+steady_time after(steady_time from, double seconds)
+{
+    return from + std::chrono::duration_cast<steady_time::duration>(
+                      std::chrono::duration<double>(seconds));
+}
+
+double seconds(std::chrono::milliseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+double within(double rate, double expected)
+{
+    return std::clamp(rate, slowest * expected, fastest * expected);
+}
+
+void learn_prefill(const replica_table& table, replica& of, const dispatched_work& work,
+                   double first_token, steady_time now)
+{
+    const double expected = work.prefill_wait + work.uncached_tokens / of.prefill_rate;
+    if (first_token < min_learned_prefill || expected < min_learned_prefill) {
+        return;
+    }
+    // By ratio, because the wait ahead of the request scales with the same speed.
+    const double ratio = std::clamp(expected / first_token, 0.1, 4.0);
+    const double rate = of.prefill_rate * std::pow(ratio, table.config.learning_rate);
+    of.prefill_rate = within(rate, of.spec.prefill_rate);
+    of.last_sample = now;
+}
+
+void learn_decode(const replica_table& table, replica& of, const dispatched_work& work,
+                  double output_tokens, double time, steady_time now)
+{
+    if (output_tokens < min_learned_output || time <= 0) {
+        return;
+    }
+    const double alone =
+        output_tokens / time * (1 + table.config.batch_slowdown * work.batch_share);
+    const double weight =
+        table.config.learning_rate * std::min(1.0, output_tokens / full_weight_output);
+    of.decode_rate =
+        within(of.decode_rate + weight * (alone - of.decode_rate), of.spec.decode_rate);
+    of.last_sample = now;
+}
+
+/// Takes a request out of the work in flight. Returns false if it was not there.
+bool release(replica& of, const std::string& request_id, dispatched_work& work, steady_time now)
+{
+    const auto it = of.work.find(request_id);
+    if (it == of.work.end()) {
+        return false;
+    }
+    work = it->second;
+    of.work.erase(it);
+    of.in_flight -= 1;
+    of.probes_in_flight -= work.is_probe ? 1 : 0;
+    of.kv_tokens_used = of.in_flight == 0 ? 0 : of.kv_tokens_used - work.kv_tokens;
+    if (of.in_flight == 0) {
+        of.prefill_free_at = std::min(of.prefill_free_at, now);
+    }
+    record_in_flight(of, now);
+    return true;
+}
+
+/// Gives back the prefill time of a request that will not be computed.
+void return_prefill(replica& of, const dispatched_work& work)
+{
+    if (!work.has_first_token) {
+        of.prefill_free_at = after(of.prefill_free_at, -work.uncached_tokens / of.prefill_rate);
+    }
+}
+
+} // namespace
+
+void update_replica(replica_table& table, const replica_spec& spec, steady_time now)
+{
+    replica* known = find(table, spec.id);
+    if (known == nullptr) {
+        const auto unused = std::find_if(table.replicas.begin(), table.replicas.end(),
+                                         [](const replica& each) { return !each.is_present; });
+        const bool is_reused = unused != table.replicas.end();
+        known = is_reused ? &*unused : &table.replicas.emplace_back();
+        *known = {};
+        known->is_present = true;
+        known->spec = spec;
+        known->last_progress = now;
+        table.index[spec.id] = index_of(table, *known);
+    }
+    const bool is_new_class = known->prefill_rate == 0 ||
+                              known->spec.engine_class != spec.engine_class ||
+                              known->spec.prefill_rate != spec.prefill_rate ||
+                              known->spec.decode_rate != spec.decode_rate;
+    if (known->spec.address != spec.address) {
+        // Another process, with an empty cache.
+        forget_all_blocks(table, index_of(table, *known));
+        known->is_leaving = false;
+    }
+    known->spec = spec;
+    known->spec.max_in_flight = std::max(1, spec.max_in_flight);
+    known->spec.prefill_rate = std::max(1.0, spec.prefill_rate);
+    known->spec.decode_rate = std::max(0.1, spec.decode_rate);
+    known->is_leaving = known->is_leaving || spec.is_leaving;
+    if (is_new_class) {
+        known->prefill_rate = known->spec.prefill_rate;
+        known->decode_rate = known->spec.decode_rate;
+        known->kv_capacity = spec.kv_tokens;
+    }
+}
+
+void remove_replica(replica_table& table, const std::string& id)
+{
+    const auto it = table.index.find(id);
+    if (it == table.index.end()) {
+        return;
+    }
+    forget_all_blocks(table, it->second);
+    table.replicas[it->second] = {};
+    table.index.erase(it);
+}
+
+void mark_leaving(replica_table& table, const std::string& id)
+{
+    if (replica* of = find(table, id)) {
+        of->is_leaving = true;
+    }
+}
+
+void on_dispatch(replica_table& table, const std::string& id, const request_shape& request,
+                 steady_time now)
+{
+    replica* of = find(table, id);
+    if (of == nullptr || of->work.contains(request.request_id)) {
+        return;
+    }
+    const double hit = expected_hits(table, request)[index_of(table, *of)];
+    dispatched_work work;
+    work.dispatched = now;
+    work.prompt_tokens = request.prompt_tokens;
+    work.output_tokens = request.output_tokens;
+    work.uncached_tokens = std::max(0.0, request.prompt_tokens - hit);
+    work.prefill_wait = prefill_wait(*of, now);
+    work.batch_share = static_cast<double>(of->in_flight + 1) / of->spec.max_in_flight;
+    work.kv_tokens = request.prompt_tokens + request.output_tokens;
+    work.is_probe = is_probe_due(table, *of, now);
+    if (work.is_probe) {
+        of->probes_in_flight += 1;
+        of->next_probe = now + table.config.probe_interval;
+    }
+    if (of->in_flight == 0) {
+        of->last_progress = now;
+    }
+    of->prefill_free_at =
+        after(std::max(now, of->prefill_free_at), work.uncached_tokens / of->prefill_rate);
+    of->in_flight += 1;
+    of->kv_tokens_used += work.kv_tokens;
+    of->work.emplace(request.request_id, work);
+    record_in_flight(*of, now);
+    note_blocks(table, index_of(table, *of), request.prefix_blocks);
+}
+
+void on_not_dispatched(replica_table& table, const std::string& id, const std::string& request_id,
+                       steady_time now)
+{
+    dispatched_work work;
+    replica* of = find(table, id);
+    if (of != nullptr && release(*of, request_id, work, now)) {
+        return_prefill(*of, work);
+    }
+}
+
+void on_cancel(replica_table& table, const std::string& id, const std::string& request_id,
+               steady_time now)
+{
+    on_not_dispatched(table, id, request_id, now);
+}
+
+void on_first_token(replica_table& table, const std::string& id, const std::string& request_id,
+                    steady_time now)
+{
+    replica* of = find(table, id);
+    if (of == nullptr) {
+        return;
+    }
+    const auto it = of->work.find(request_id);
+    if (it == of->work.end() || it->second.has_first_token) {
+        return;
+    }
+    of->last_progress = now;
+    it->second.has_first_token = true;
+    const std::chrono::duration<double> time = now - it->second.dispatched;
+    learn_prefill(table, *of, it->second, time.count(), now);
+}
+
+void on_finish(replica_table& table, const std::string& id, const std::string& request_id,
+               const finish_report& report, steady_time now)
+{
+    dispatched_work work;
+    replica* of = find(table, id);
+    if (of == nullptr || !release(*of, request_id, work, now)) {
+        return;
+    }
+    of->last_progress = now;
+    of->failures = 0;
+    of->health = replica_health::healthy;
+    if (report.first_token.count() > 0 && !work.has_first_token) {
+        learn_prefill(table, *of, work, seconds(report.first_token), now);
+    }
+    if (report.first_token.count() > 0 && report.duration > report.first_token) {
+        learn_decode(table, *of, work, report.output_tokens,
+                     seconds(report.duration - report.first_token), now);
+    }
+}
+
+void on_failure(replica_table& table, const std::string& id, const std::string& request_id,
+                steady_time now)
+{
+    replica* of = find(table, id);
+    if (of == nullptr) {
+        return;
+    }
+    dispatched_work work;
+    if (release(*of, request_id, work, now)) {
+        return_prefill(*of, work);
+    }
+    of->health = replica_health::eased;
+    of->failures += 1;
+    const int doublings = std::min(of->failures - 1, 10);
+    of->next_probe =
+        now + std::min<std::chrono::milliseconds>(table.config.probe_interval * (1 << doublings),
+                                                  table.config.max_probe_interval);
+}
+
+void on_load_report(replica_table& table, const std::string& id, const load_report& report,
+                    steady_time now)
+{
+    replica* of = find(table, id);
+    if (of == nullptr) {
+        return;
+    }
+    of->is_leaving = of->is_leaving || report.is_leaving;
+    of->last_report = now;
+    of->last_progress = now;
+    const steady_time taken = now - std::max(report.age, std::chrono::milliseconds{0});
+    if (taken < of->report_taken) {
+        return;
+    }
+    of->report_taken = taken;
+    of->reported_others =
+        std::max(0, report.running + report.waiting - own_in_flight_at(*of, taken));
+    if (report.kv_capacity_tokens > 0) {
+        of->kv_capacity = report.kv_capacity_tokens;
+    }
+}
+
+void on_cache_events(replica_table& table, const std::string& id, const cache_events& events,
+                     steady_time)
+{
+    replica* of = find(table, id);
+    if (of == nullptr) {
+        return;
+    }
+    if (of->next_cache_event > 0 && events.first_sequence > of->next_cache_event) {
+        of->cache_generation += 1;
+    }
+    const std::uint32_t index = index_of(table, *of);
+    for (const cache_event& event : events.events) {
+        if (event.sequence < of->next_cache_event) {
+            continue;
+        }
+        of->next_cache_event = event.sequence + 1;
+        if (event.kind == cache_event_kind::stored) {
+            note_blocks(table, index, {event.block});
+        }
+        else {
+            forget_block(table, index, event.block);
+        }
+    }
+    of->next_cache_event = std::max(of->next_cache_event, events.next_sequence);
+}
+
+std::uint64_t last_cache_event(const replica_table& table, const std::string& id)
+{
+    const auto it = table.index.find(id);
+    const bool is_known =
+        it != table.index.end() && table.replicas[it->second].next_cache_event > 0;
+    return is_known ? table.replicas[it->second].next_cache_event - 1 : 0;
+}
+
+} // namespace almondline::routing
--- /dev/null
+++ b/src/routing/tests/routing_test.cpp
@@ -0,0 +1,252 @@
+#include "routing/routing.h"
+
+#include <doctest/doctest.h>
+
+using namespace almondline;
+using namespace almondline::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+replica_spec make_spec(const std::string& id, double speed = 1, int slots = 8)
+{
+    replica_spec spec;
+    spec.id = id;
+    spec.address = "10.0.0.1:80";
+    spec.engine_class = "g1";
+    spec.prefill_rate = 10'000 * speed;
+    spec.decode_rate = 50 * speed;
+    spec.max_in_flight = slots;
+    spec.kv_tokens = 100'000;
+    return spec;
+}
+
+request_shape make_request(const std::string& id, double prompt = 1000, std::uint64_t prefix = 0)
+{
+    request_shape request;
+    request.request_id = id;
+    request.prompt_tokens = prompt;
+    request.output_tokens = 100;
+    for (std::uint64_t i = 0; prefix != 0 && i < 10; ++i) {
+        request.prefix_blocks.push_back(prefix * 1000 + i);
+    }
+    return request;
+}
+
+struct fixture {
+    manual_clock clock;
+    replica_table table;
+    int made = 0;
+
+    fixture(std::initializer_list<replica_spec> specs)
+    {
+        for (const replica_spec& spec : specs) {
+            update_replica(table, spec, clock.now());
+        }
+    }
+
+    std::string chosen(const request_shape& request) const
+    {
+        const auto result = choose(table, request, clock.now());
+        return result ? result->id : "";
+    }
+
+    std::string dispatch(double prompt = 1000, std::uint64_t prefix = 0)
+    {
+        const request_shape request = make_request("r" + std::to_string(made++), prompt, prefix);
+        std::string id = chosen(request);
+        on_dispatch(table, id, request, clock.now());
+        return id;
+    }
+
+    candidate_state state(const std::string& id, const request_shape& request) const
+    {
+        const auto result = choose(table, request, clock.now());
+        REQUIRE(result);
+        for (const candidate& each : result->candidates) {
+            if (each.id == id) {
+                return each.state;
+            }
+        }
+        return candidate_state::excluded;
+    }
+
+    void run_all(const std::string& id, const request_shape& request, int n, finish_report report)
+    {
+        for (int i = 0; i < n; ++i) {
+            on_dispatch(table, id, request, clock.now());
+            clock.advance(report.duration);
+            on_finish(table, id, request.request_id, report, clock.now());
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("work spreads in proportion to speed, with own dispatches known at once")
+{
+    fixture f{make_spec("fast", 1.5, 16), make_spec("slow", 1, 8)};
+    int fast = 0;
+    for (int i = 0; i < 14; ++i) {
+        fast += f.dispatch(100) == "fast" ? 1 : 0;
+    }
+    // Streams of the full fast replica would be slower than a stream alone on the slow one.
+    CHECK(fast >= 10);
+    CHECK(fast < 14);
+}
+
+TEST_CASE("a learned slowdown shifts work, and an idle slow replica is tried again")
+{
+    fixture f{make_spec("a"), make_spec("b")};
+    const request_shape request = make_request("x", 4000);
+    f.run_all("a", request, 30, {1600ms, 9600ms, 4000, 100}); // a quarter of the speed
+    for (int i = 0; i < 2; ++i) {
+        CHECK(f.dispatch() == "b");
+    }
+    CHECK(f.table.replicas[0].decode_rate < 20);
+    CHECK(f.table.replicas[0].prefill_rate < 4000);
+    CHECK(count_slots(f.table, f.clock.now()).total < 13);
+    f.clock.advance(5s);
+    CHECK(f.dispatch() == "a"); // one probing request
+    CHECK(f.dispatch() == "b");
+}
+
+TEST_CASE("leaving replicas are never chosen, whoever says that they leave")
+{
+    fixture f{make_spec("a"), make_spec("b"), make_spec("c")};
+    mark_leaving(f.table, "a");
+    load_report report;
+    report.is_leaving = true;
+    on_load_report(f.table, "b", report, f.clock.now());
+    report.is_leaving = false; // a late report does not take it back
+    report.age = 5s;
+    on_load_report(f.table, "b", report, f.clock.now());
+    request_shape request = make_request("x");
+    CHECK(f.chosen(request) == "c");
+    request.excluded = {"c"};
+    CHECK(f.chosen(request).empty());
+    CHECK(count_slots(f.table, f.clock.now()).total == 8);
+}
+
+TEST_CASE("load of others is estimated from late reports and forgotten with age")
+{
+    fixture f{make_spec("a"), make_spec("b")};
+    for (int i = 0; i < 3; ++i) {
+        on_dispatch(f.table, "a", make_request("o" + std::to_string(i), 10), f.clock.now());
+    }
+    f.clock.advance(5s);
+    for (int i = 0; i < 3; ++i) {
+        on_cancel(f.table, "a", "o" + std::to_string(i), f.clock.now());
+    }
+    load_report report;
+    report.running = 3;
+    report.age = 4s;
+    on_load_report(f.table, "a", report, f.clock.now());
+    CHECK(f.table.replicas[0].reported_others == 0); // it was own work
+    report.running = 8;
+    report.age = 0s;
+    on_load_report(f.table, "a", report, f.clock.now());
+    CHECK(f.state("a", make_request("x")) == candidate_state::full);
+    f.clock.advance(10s);
+    CHECK(f.state("a", make_request("x")) == candidate_state::usable);
+}
+
+TEST_CASE("memory is reserved for the whole request, so that engines need not preempt")
+{
+    fixture f{make_spec("a")};
+    on_dispatch(f.table, "a", make_request("big", 90'000), f.clock.now());
+    f.clock.advance(10s);
+    CHECK(f.chosen(make_request("x", 8000)).empty());
+    CHECK(f.chosen(make_request("x", 1000)) == "a");
+    on_finish(f.table, "a", "big", {}, f.clock.now());
+    CHECK(f.chosen(make_request("x", 200'000)) == "a"); // alone, rather than never
+}
+
+TEST_CASE("a prefix attracts its requests until the replica is busier than the rest")
+{
+    fixture f{make_spec("a"), make_spec("b"), make_spec("c"), make_spec("d")};
+    const std::string home = f.dispatch(4000, 7);
+    f.clock.advance(1s);
+    CHECK(f.dispatch(4000, 7) == home);
+    int elsewhere = 0;
+    for (int i = 0; i < 10; ++i) {
+        f.clock.advance(1s);
+        elsewhere += f.dispatch(4000, 7) != home ? 1 : 0;
+    }
+    CHECK(elsewhere > 0);
+}
+
+TEST_CASE("cache events: repeated ones are skipped, a gap halves the trust, evictions count")
+{
+    fixture f{make_spec("a"), make_spec("b")};
+    const request_shape request = make_request("x", 4000, 7);
+    const auto hit = [&] { return choose(f.table, request, f.clock.now())->hit_tokens; };
+    cache_events events{1, 11, {}};
+    for (std::uint64_t i = 0; i < 10; ++i) {
+        events.events.push_back({i + 1, cache_event_kind::stored, 7000 + i});
+    }
+    on_cache_events(f.table, "b", events, f.clock.now());
+    CHECK(f.chosen(request) == "b");
+    CHECK(hit() == doctest::Approx(4000));
+    CHECK(last_cache_event(f.table, "b") == 10);
+    on_cache_events(f.table, "b", {1, 11, {{3, cache_event_kind::evicted, 7000}}}, f.clock.now());
+    CHECK(hit() == doctest::Approx(4000));
+    on_cache_events(f.table, "b", {20, 21, {{20, cache_event_kind::stored, 1}}}, f.clock.now());
+    CHECK(hit() == doctest::Approx(2000));
+    on_cache_events(f.table, "b", {20, 22, {{21, cache_event_kind::evicted, 7005}}}, f.clock.now());
+    CHECK(hit() == doctest::Approx(1000));
+    remove_replica(f.table, "b");
+    update_replica(f.table, make_spec("c"), f.clock.now());
+    CHECK(hit() == 0); // the reused place does not inherit the blocks
+    CHECK(f.table.block_holders.empty());
+}
+
+TEST_CASE("known blocks are bounded, the least recently used are forgotten first")
+{
+    fixture f{make_spec("a")};
+    f.table.config.max_known_blocks = 20;
+    for (std::uint64_t prefix = 1; prefix < 100; ++prefix) {
+        const request_shape request = make_request("x", 1000, prefix);
+        on_dispatch(f.table, "a", request, f.clock.now());
+        on_finish(f.table, "a", "x", {}, f.clock.now());
+    }
+    CHECK(f.table.block_holders.size() == 20);
+    CHECK(choose(f.table, make_request("y", 1000, 99), f.clock.now())->hit_tokens > 0);
+    CHECK(choose(f.table, make_request("y", 1000, 97), f.clock.now())->hit_tokens == 0);
+}
+
+TEST_CASE("a failed or silent replica gets single probes, less and less often, until it works")
+{
+    fixture f{make_spec("a"), make_spec("b")};
+    const request_shape request = make_request("x");
+    on_failure(f.table, "a", "lost", f.clock.now());
+    CHECK(f.state("a", request) == candidate_state::eased);
+    f.clock.advance(1s);
+    CHECK(f.dispatch() == "a");
+    CHECK(f.dispatch() == "b");
+    on_failure(f.table, "a", "r0", f.clock.now());
+    f.clock.advance(1500ms);
+    CHECK(f.state("a", request) == candidate_state::eased);
+    f.clock.advance(500ms);
+    CHECK(f.dispatch() == "a");
+    on_finish(f.table, "a", "r2", {}, f.clock.now());
+    CHECK(f.state("a", request) == candidate_state::usable);
+    on_load_report(f.table, "b", {}, f.clock.now());
+    f.clock.advance(3001ms);
+    CHECK(f.state("b", request) == candidate_state::probe);
+    on_dispatch(f.table, "b", request, f.clock.now());
+    CHECK(f.state("b", request) == candidate_state::eased);
+    on_load_report(f.table, "b", {}, f.clock.now());
+    CHECK(f.state("b", request) == candidate_state::usable);
+}
+
+TEST_CASE("too much prefill ahead keeps a request in the queue")
+{
+    fixture f{make_spec("a")};
+    CHECK(f.dispatch(9000) == "a");
+    CHECK(f.chosen(make_request("x")).empty());
+    f.clock.advance(500ms);
+    CHECK(f.chosen(make_request("x")) == "a");
+    const auto result = choose(f.table, make_request("x"), f.clock.now());
+    CHECK(result->reason.find("least expected time") == 0);
+}
