--- a/src/backend/reports.cpp
+++ b/src/backend/reports.cpp
@@ -39,13 +39,13 @@
 
 } // namespace
 
-boost::leaf::result<load_report> parse_load_report(std::string_view text)
+boost::leaf::result<routing::load_report> parse_load_report(std::string_view text)
 {
     BOOST_LEAF_AUTO(parsed, parse_json(text));
     if (!parsed.is_object()) {
         return boost::leaf::new_error(parse_error{{}, 0, "load report", "not an object"});
     }
-    load_report report;
+    routing::load_report report;
     report.age =
         std::chrono::milliseconds{std::max<std::int64_t>(0, integer_or(parsed, "age_ms", 0))};
     report.running = count_or_zero(parsed, "running");
@@ -63,24 +63,24 @@
     return report;
 }
 
-boost::leaf::result<cache_event_batch> parse_cache_events(std::string_view text)
+boost::leaf::result<routing::cache_events> parse_cache_events(std::string_view text)
 {
     BOOST_LEAF_AUTO(parsed, parse_json(text));
     const auto* events = parsed.is_object() ? find_array(parsed, "events") : nullptr;
     if (events == nullptr) {
         return boost::leaf::new_error(parse_error{{}, 0, "events", "missing or not an array"});
     }
-    cache_event_batch batch;
+    routing::cache_events batch;
     batch.first_sequence = static_cast<std::uint64_t>(integer_or(parsed, "first_seq", 0));
     batch.next_sequence = static_cast<std::uint64_t>(integer_or(parsed, "next_seq", 0));
     for (const auto& it : *events) {
         if (batch.events.size() == max_events) {
             break;
         }
-        cache_event event;
+        routing::cache_event event;
         event.sequence = static_cast<std::uint64_t>(integer_or(it, "seq", 0));
-        event.kind = string_or(it, "kind") == "evicted" ? cache_event_kind::evicted
-                                                        : cache_event_kind::stored;
+        event.kind = string_or(it, "kind") == "evicted" ? routing::cache_event_kind::evicted
+                                                        : routing::cache_event_kind::stored;
         event.block = parse_block(string_or(it, "block"));
         batch.events.push_back(event);
     }
--- a/src/backend/tests/reports_test.cpp
+++ b/src/backend/tests/reports_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 using namespace almondline::backend;
+using almondline::routing::cache_event_kind;
 
 TEST_CASE("parse_load_report reads the fields and bounds nonsense")
 {
--- /dev/null
+++ b/src/entry/control_plane.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "entry/caller_api.h"
+#include "entry/credit_source.h"
+#include "entry/entry_settings.h"
+#include "entry/traffic_context.h"
+#include "metrics/registry.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace almondline::entry {
+
+/// The control thread's state of an entry instance: manifest, members, granters, asker. Functions are
+/// thread-safe unless they say otherwise.
+class control_plane final : public credit_source,
+                            public snapshot_source,
+                            public decision_recorder {
+public:
+    using deliver = std::function<void(std::string)>;
+
+    /// Binds the peer address at once. Throws boost::system::system_error if it can't be bound. The
+    /// io_context runs on one thread, the control thread.
+    control_plane(boost::asio::io_context& io, const entry_settings& settings,
+                  const clock_source& clock, metrics_registry& metrics);
+    ~control_plane() override;
+    control_plane(const control_plane&) = delete;
+    control_plane& operator=(const control_plane&) = delete;
+
+    void start();
+    /// Announces to the other members that this instance takes no new requests.
+    void begin_drain();
+
+    void request(const std::string& pool, scheduling::ask what,
+                 granting::credit_handler handler) override;
+    void release(const granting::credit& given, const granting::release_report& report) override;
+    void cancel(const std::string& pool, const std::string& request_id) override;
+    std::shared_ptr<const manifest_snapshot> snapshot() const override;
+    void record(const std::string& request_id, const std::string& line) override;
+
+    std::vector<advertised_address> addresses() const;
+    /// Delivers JSON on the control thread.
+    void status(deliver done);
+    void explain(std::string request_id, deliver done);
+    /// Puts counters of the control thread into the metrics. Control thread only; also done by a timer.
+    void update_metrics();
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace almondline::entry
--- a/src/entry/internal/credit_wait.cpp
+++ b/src/entry/internal/credit_wait.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 using decision_channel =
-    asio::experimental::channel<void(boost::system::error_code, credit_decision)>;
+    asio::experimental::channel<void(boost::system::error_code, granting::credit_result)>;
 
 /// Used on the connection's strand only.
 struct waiting_state {
@@ -25,20 +25,22 @@
     bool is_abandoned = false;
 };
 
-void deliver(waiting_state& state, credit_source& credits, credit_decision decision)
+void deliver(waiting_state& state, credit_source& credits, granting::credit_result decision)
 {
     if (!state.is_abandoned) {
         state.channel.try_send(boost::system::error_code{}, std::move(decision));
         return;
     }
-    if (const auto* unused = std::get_if<credit>(&decision)) {
-        credits.release(*unused, credit_report{});
+    if (decision.granted) {
+        granting::release_report unused;
+        unused.outcome = granting::release_outcome::not_dispatched;
+        credits.release(*decision.granted, unused);
     }
 }
 
 } // namespace
 
-asio::awaitable<std::optional<credit_decision>> wait_for_credit(credit_source& credits,
+asio::awaitable<std::optional<granting::credit_result>> wait_for_credit(credit_source& credits,
                                                                 std::string pool,
                                                                 scheduling::ask what,
                                                                 http_exchange& exchange)
@@ -46,7 +48,7 @@
     const auto executor = co_await asio::this_coro::executor;
     const auto state = std::make_shared<waiting_state>(executor);
     const auto request_id = what.request_id;
-    credits.request(pool, std::move(what), [state, executor, &credits](credit_decision decision) {
+    credits.request(pool, std::move(what), [state, executor, &credits](granting::credit_result decision) {
         asio::post(executor, [state, &credits, decision = std::move(decision)]() mutable {
             deliver(*state, credits, std::move(decision));
         });
@@ -59,7 +61,7 @@
     state->is_abandoned = true;
     credits.cancel(pool, request_id);
     // A decision may already be in the channel.
-    state->channel.try_receive([&](boost::system::error_code, credit_decision decision) {
+    state->channel.try_receive([&](boost::system::error_code, granting::credit_result decision) {
         deliver(*state, credits, std::move(decision));
     });
     co_return std::nullopt;
--- /dev/null
+++ b/src/entry/internal/pools.cpp
@@ -0,0 +1,168 @@
+#include "entry/internal/pools.h"
+
+#include "common/log.h"
+#include "routing/routing.h"
+#include "scheduling/types/queue_config.h"
+
+#include <algorithm>
+#include <set>
+
+namespace almondline::entry {
+
+namespace {
+
+routing::replica_spec make_spec(const listed_instance& server, const service_policy& service,
+                                const manifest& m)
+{
+    routing::replica_spec spec;
+    spec.id = server.id;
+    spec.address = server.address;
+    spec.failure_domain = server.failure_domain;
+    spec.engine_class = server.engine_class;
+    spec.is_leaving = server.is_leaving;
+    spec.max_in_flight = service.plain_max_in_flight;
+    const auto* engine = find_engine_class(m, server.engine_class);
+    if (service.type == service_type::model && engine != nullptr) {
+        spec.prefill_rate = engine->prefill_tokens_per_second;
+        spec.decode_rate = engine->decode_tokens_per_second;
+        spec.kv_tokens = engine->kv_tokens;
+        spec.max_in_flight = engine->max_in_flight;
+    }
+    return spec;
+}
+
+} // namespace
+
+pools::pools(std::string instance_id, const clock_source& clock, peer_sender& sender,
+             granting::decision_log& decisions, granting::failure_domain_lookup lookup)
+    : instance_id_{std::move(instance_id)}, clock_{clock}, sender_{sender}, decisions_{decisions},
+      lookup_{std::move(lookup)}
+{
+}
+
+granting::pool_granter pools::owner_of(const std::string& pool) const
+{
+    return granting::pool_owner(pool, members_, {});
+}
+
+granting::granter* pools::find(const std::string& pool)
+{
+    const auto it = granters_.find(pool);
+    return it == granters_.end() ? nullptr : it->second.get();
+}
+
+void pools::create(const service_policy& service)
+{
+    granting::granter_settings settings;
+    settings.instance_id = instance_id_;
+    settings.pool = service.name;
+    auto made = std::make_unique<granting::granter>(
+        settings, scheduling::make_queue_config(*manifest_, service), clock_, sender_, decisions_,
+        lookup_);
+    update_replicas(*made, service);
+    granters_.emplace(service.name, std::move(made));
+    log_event("entry", log_level::info, "pool-owned", {{"pool", service.name}});
+}
+
+void pools::update_ownership(const std::vector<membership::member>& members)
+{
+    members_ = members;
+    if (manifest_ == nullptr) {
+        return;
+    }
+    for (const auto& it : manifest_->services) {
+        const bool is_owner = owner_of(it.name).instance_id == instance_id_;
+        const bool has_granter = granters_.count(it.name) != 0;
+        if (is_owner && !has_granter) {
+            create(it);
+        }
+        if (!is_owner && has_granter) {
+            granters_.erase(it.name);
+            log_event("entry", log_level::info, "pool-given-up", {{"pool", it.name}});
+        }
+    }
+}
+
+void pools::apply_manifest(std::shared_ptr<const manifest> content)
+{
+    manifest_ = std::move(content);
+    std::erase_if(granters_, [&](const auto& it) {
+        return find_service(*manifest_, it.first) == nullptr;
+    });
+    for (auto& [name, granter] : granters_) {
+        const auto* service = find_service(*manifest_, name);
+        granter->reconfigure(scheduling::make_queue_config(*manifest_, *service));
+        update_replicas(*granter, *service);
+    }
+    update_ownership(members_);
+}
+
+void pools::update_replicas(granting::granter& target, const service_policy& service)
+{
+    const auto now = clock_.now();
+    auto& table = target.replicas();
+    std::set<std::string> listed;
+    for (const auto& it : backends_) {
+        if (it.service != service.name) {
+            continue;
+        }
+        listed.insert(it.id);
+        routing::update_replica(table, make_spec(it, service, *manifest_), now);
+    }
+    std::vector<std::string> gone;
+    for (const auto& [id, index] : table.index) {
+        if (listed.count(id) == 0) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        routing::remove_replica(table, id);
+    }
+    target.tick(now);
+}
+
+void pools::apply_list(const std::vector<listed_instance>& instances)
+{
+    backends_.clear();
+    std::copy_if(instances.begin(), instances.end(), std::back_inserter(backends_),
+                 [](const listed_instance& it) { return it.role == instance_role::backend; });
+    for (auto& [name, granter] : granters_) {
+        update_replicas(*granter, *find_service(*manifest_, name));
+    }
+}
+
+void pools::tick(steady_time now)
+{
+    for (auto& [name, granter] : granters_) {
+        granter->tick(now);
+    }
+}
+
+void pools::handle(const std::string& from, const wire::envelope& message)
+{
+    for (auto& [name, granter] : granters_) {
+        granter->handle(from, message);
+    }
+}
+
+void pools::forget_holder(const std::string& instance_id)
+{
+    for (auto& [name, granter] : granters_) {
+        granter->forget_holder(instance_id);
+    }
+}
+
+std::vector<listed_instance> pools::owned_engines() const
+{
+    std::vector<listed_instance> engines;
+    for (const auto& it : backends_) {
+        const bool is_owned = granters_.count(it.service) != 0;
+        const auto* service = is_owned ? find_service(*manifest_, it.service) : nullptr;
+        if (service != nullptr && service->type == service_type::model) {
+            engines.push_back(it);
+        }
+    }
+    return engines;
+}
+
+} // namespace almondline::entry
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -42,25 +42,25 @@
     return milliseconds{static_cast<std::int64_t>(std::max(0.0, least) * 1000)};
 }
 
-credit_use use_of(const backend::dispatch_outcome& outcome)
+granting::release_outcome outcome_of(const backend::dispatch_outcome& outcome)
 {
     using backend::dispatch_end;
     constexpr int first_server_error = 500;
     switch (outcome.end) {
     case dispatch_end::completed:
-        return credit_use::finished;
+        return granting::release_outcome::finished;
     case dispatch_end::stopped:
-        return credit_use::cancelled;
+        return granting::release_outcome::cancelled;
     case dispatch_end::rejected:
         // A fault of the request says nothing about the health of the backend server.
-        return outcome.response.status < first_server_error ? credit_use::cancelled
-                                                            : credit_use::failed;
+        return outcome.response.status < first_server_error ? granting::release_outcome::cancelled
+                                                            : granting::release_outcome::failed;
     case dispatch_end::not_dispatched:
     case dispatch_end::not_admitted:
     case dispatch_end::broken:
-        return credit_use::failed;
+        return granting::release_outcome::failed;
     }
-    return credit_use::failed;
+    return granting::release_outcome::failed;
 }
 
 /// One request from its checks to its answer.
@@ -97,7 +97,7 @@
     steady_time deadline_;
     steady_time dispatched_{};
     std::vector<std::string> excluded_;
-    credit credit_;
+    granting::credit credit_;
     backend::dispatch_outcome outcome_;
     recorded_answer recorded_;
     bool is_caller_closed_ = false;
@@ -133,11 +133,11 @@
         record_end(0, verdict::not_run, "caller-closed");
         co_return false;
     }
-    if (const auto* why = std::get_if<refusal>(&*decision)) {
-        co_await refuse(status_of_refusal(why->code), *why);
+    if (!decision->granted) {
+        co_await refuse(status_of_refusal(decision->why.code), decision->why);
         co_return false;
     }
-    credit_ = std::get<credit>(*decision);
+    credit_ = *decision->granted;
     context_.metrics.observe("almondline_queue_seconds", {{"tier", request_.tier_name}},
                              context_.clock.now() - started_);
     co_return true;
@@ -174,7 +174,6 @@
 
 asio::awaitable<void> request_run::dispatch()
 {
-    context_.credits.confirm(credit_);
     dispatched_ = context_.clock.now();
     outcome_ = {};
     const auto line = format_log_line("entry", log_level::info, "dispatch",
@@ -202,12 +201,12 @@
 void request_run::release()
 {
     const auto now = context_.clock.now();
-    credit_report report;
-    report.use = use_of(outcome_);
+    granting::release_report report;
+    report.outcome = outcome_of(outcome_);
     report.prompt_tokens = outcome_.usage.prompt_tokens;
     report.output_tokens = outcome_.usage.completion_tokens;
     report.actual_cost = cost_of(report.prompt_tokens, report.output_tokens);
-    if (request_.type == service_type::plain && report.use == credit_use::finished) {
+    if (request_.type == service_type::plain && report.outcome == granting::release_outcome::finished) {
         report.actual_cost = cost_of(request_.prompt_tokens, request_.output_tokens);
     }
     report.duration = std::chrono::duration_cast<milliseconds>(now - dispatched_);
@@ -217,7 +216,7 @@
         context_.metrics.observe("almondline_first_token_seconds", {{"tier", request_.tier_name}},
                                  outcome_.first_event - started_);
     }
-    if (report.use == credit_use::finished && request_.type == service_type::model) {
+    if (report.outcome == granting::release_outcome::finished && request_.type == service_type::model) {
         context_.lengths.learn(request_.service, request_.kind, report.output_tokens);
     }
     else if (outcome_.run == verdict::may_have_run) {
--- a/src/routing/types/reports.h
+++ b/src/routing/types/reports.h
@@ -15,6 +15,7 @@
     double kv_used_tokens = 0;
     double kv_capacity_tokens = 0;
     bool is_leaving = false;
+    std::vector<std::string> models; ///< loaded on the engine
 };
 
 enum class cache_event_kind { stored, evicted };
