--- /dev/null
+++ b/src/membership/member_table.cpp
@@ -0,0 +1,360 @@
+#include "membership/member_table.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+
+#include <algorithm>
+
+namespace almondline::membership {
+
+namespace {
+
+// Order of the statements about one incarnation with the same refutation number.
+int rank_of(member_status status)
+{
+    switch (status) {
+    case member_status::alive:
+        return 0;
+    case member_status::leaving:
+        return 1;
+    case member_status::suspect:
+        return 2;
+    case member_status::dead:
+        return 3;
+    }
+    return 0;
+}
+
+bool is_newer(const member& update, const member& known)
+{
+    if (update.incarnation != known.incarnation) {
+        return update.incarnation > known.incarnation;
+    }
+    if (update.refutation != known.refutation) {
+        return update.refutation > known.refutation;
+    }
+    return rank_of(update.status) > rank_of(known.status);
+}
+
+void copy_if_given(std::string& to, const std::string& from)
+{
+    if (!from.empty()) {
+        to = from;
+    }
+}
+
+bool by_id(const member& a, const member& b)
+{
+    return a.id < b.id;
+}
+
+} // namespace
+
+member_table::member_table(member self, const membership_config& config, std::uint64_t seed,
+                           steady_time now)
+    : self_{std::move(self)}, config_{config}, random_{seed}, started_{now}, last_tick_{now},
+      last_heard_{now}, next_random_{now}, next_gossip_{now}, next_verify_{now}, next_forget_{now}
+{
+}
+
+void member_table::set_leaving(steady_time now)
+{
+    if (self_.status == member_status::leaving) {
+        return;
+    }
+    self_.status = member_status::leaving;
+    push_update(updates_, self_.id, records_.size() + 1);
+    next_gossip_ = now;
+}
+
+void member_table::apply_list(const std::vector<listed_instance>& instances, steady_time now)
+{
+    for (auto& [id, it] : records_) {
+        it.is_listed = false;
+    }
+    for (const auto& it : instances) {
+        if (it.role != instance_role::entry) {
+            continue;
+        }
+        if (it.id != self_.id) {
+            list_member(it, now);
+        }
+        else if (it.is_leaving) {
+            set_leaving(now);
+        }
+    }
+}
+
+void member_table::list_member(const listed_instance& it, steady_time now)
+{
+    auto& known = add_record(it.id, now);
+    known.is_listed = true;
+    known.last_listed = now;
+    if (known.info.incarnation == 0) {
+        known.info.peer_address = it.peer_address;
+        known.info.caller_address = it.address;
+        known.info.failure_domain = it.failure_domain;
+    }
+    if (!it.is_leaving) {
+        known.leaving_in_list = -1;
+    }
+    else if (known.leaving_in_list < 0) {
+        known.leaving_in_list = known.info.incarnation;
+    }
+}
+
+member_table::record& member_table::add_record(const std::string& id, steady_time now)
+{
+    const auto [it, is_new] = records_.try_emplace(id);
+    if (is_new) {
+        it->second.info.id = id;
+        it->second.since = it->second.first_heard = it->second.last_listed = now;
+        ids_.push_back(id);
+        unverified_.insert(id);
+        // Its own announcement usually arrives first. Without the delay a new member would be
+        // probed by the whole fleet as soon as the list shows it.
+        if (now - started_ >= config_.youth) {
+            it->second.next_probe = now + std::chrono::milliseconds{random_() % 5000U};
+        }
+    }
+    return it->second;
+}
+
+void member_table::apply_update(const member& update, steady_time now)
+{
+    if (update.id == self_.id) {
+        apply_self_update(update);
+        return;
+    }
+    const auto it = records_.find(update.id);
+    if (update.incarnation <= 0 || (it == records_.end() && update.status == member_status::dead)) {
+        return;
+    }
+    auto& known = it == records_.end() ? add_record(update.id, now) : it->second;
+    if (update.incarnation == known.info.incarnation) {
+        known.info.manifest_version =
+            std::max(known.info.manifest_version, update.manifest_version);
+    }
+    if (!is_newer(update, known.info)) {
+        return;
+    }
+    // The sender may have declared it dead before the whole domain fell silent there.
+    const bool is_premature =
+        update.status == member_status::dead && is_unreachable(known.info.failure_domain);
+    if (is_premature && known.info.status == member_status::suspect) {
+        return;
+    }
+    const bool is_first_sight = known.info.incarnation == 0;
+    adopt(known, update, now);
+    if (!is_first_sight || now - started_ >= config_.youth) {
+        push_update(updates_, update.id, records_.size() + 1);
+    }
+}
+
+void member_table::apply_self_update(const member& update)
+{
+    if (update.incarnation > self_.incarnation) {
+        // Peers ignore a member whose clock went back over a restart until it outbids its past.
+        log_event("membership", log_level::warning, "incarnation-raised",
+                  {{"from", self_.incarnation}, {"to", update.incarnation + 1}});
+        self_.incarnation = update.incarnation + 1;
+        self_.refutation = 0;
+    }
+    else if (update.incarnation == self_.incarnation && update.refutation >= self_.refutation &&
+             rank_of(update.status) >= rank_of(member_status::suspect)) {
+        self_.refutation = update.refutation + 1;
+    }
+    else {
+        return;
+    }
+    push_update(updates_, self_.id, records_.size() + 1);
+}
+
+void member_table::adopt(record& known, const member& update, steady_time now)
+{
+    if (update.incarnation != known.info.incarnation) {
+        count_in_domain(known, -1);
+        if (known.leaving_in_list == 0) {
+            known.leaving_in_list = update.incarnation;
+        }
+        known.info.incarnation = update.incarnation;
+        known.info.manifest_version = update.manifest_version;
+        known.info.status = member_status::alive;
+        known.is_leaving = false;
+        known.first_heard = now;
+        known.unanswered_since.reset();
+        copy_if_given(known.info.failure_domain, update.failure_domain);
+        count_in_domain(known, 1);
+        unverified_.erase(update.id);
+        suspects_.erase(update.id);
+        ring_.insert_or_assign(stable_hash(update.id), update.id);
+    }
+    known.info.refutation = update.refutation;
+    copy_if_given(known.info.peer_address, update.peer_address);
+    copy_if_given(known.info.caller_address, update.caller_address);
+    known.is_leaving = known.is_leaving || update.status == member_status::leaving;
+    const bool is_left = update.status == member_status::alive && known.is_leaving;
+    set_status(known, is_left ? member_status::leaving : update.status, now);
+}
+
+void member_table::set_status(record& target, member_status status, steady_time now)
+{
+    if (target.info.status == status) {
+        return;
+    }
+    const bool is_reunited = target.info.status == member_status::suspect &&
+                             status != member_status::dead &&
+                             now - target.since > 2 * config_.dead_after;
+    count_in_domain(target, -1);
+    target.info.status = status;
+    target.since = now;
+    count_in_domain(target, 1);
+    const auto& id = target.info.id;
+    if (status == member_status::suspect) {
+        ++suspicions_;
+        suspects_.insert(id);
+        watched_.erase(id);
+    }
+    else {
+        suspects_.erase(id);
+    }
+    if (status == member_status::dead) {
+        ++deaths_;
+        ring_.erase(stable_hash(id));
+        watched_.erase(id);
+    }
+    else {
+        ring_.insert_or_assign(stable_hash(id), id);
+    }
+    if (is_reunited) {
+        // A lost domain is back: ask the other suspects first.
+        round_.assign(suspects_.begin(), suspects_.end());
+        std::shuffle(round_.begin(), round_.end(), random_);
+        hurried_probes_ = round_.size();
+    }
+    const auto level = status == member_status::dead ? log_level::info : log_level::debug;
+    if (is_log_enabled("membership", level)) {
+        log_event(
+            "membership", level, "status",
+            {{"member", id}, {"incarnation", target.info.incarnation}, {"rank", rank_of(status)}});
+    }
+}
+
+void member_table::count_in_domain(const record& counted, int step)
+{
+    if (counted.info.incarnation == 0 || counted.info.status == member_status::dead) {
+        return;
+    }
+    auto& domain = domains_[counted.info.failure_domain];
+    domain.members += step;
+    domain.suspects += counted.info.status == member_status::suspect ? step : 0;
+}
+
+bool member_table::is_unreachable(const std::string& domain) const
+{
+    // Of a domain with a single member a death cannot be told from a loss of the domain.
+    const auto it = domains_.find(domain);
+    return it != domains_.end() && domain != self_.failure_domain && it->second.members >= 2 &&
+           it->second.suspects == it->second.members;
+}
+
+bool member_table::is_usable(const record& candidate)
+{
+    return candidate.info.incarnation > 0 && candidate.info.status == member_status::alive &&
+           candidate.leaving_in_list != candidate.info.incarnation;
+}
+
+const member* member_table::find(const std::string& id) const
+{
+    if (id == self_.id) {
+        return &self_;
+    }
+    const auto it = records_.find(id);
+    return it == records_.end() ? nullptr : &it->second.info;
+}
+
+incarnation_state member_table::state_of(const std::string& id, std::int64_t incarnation) const
+{
+    const auto* known = find(id);
+    if (known == nullptr || known->incarnation == 0 || incarnation > known->incarnation) {
+        return incarnation_state::unknown;
+    }
+    if (incarnation < known->incarnation || known->status == member_status::dead) {
+        return incarnation_state::gone;
+    }
+    return known->status == member_status::suspect ? incarnation_state::silent
+                                                   : incarnation_state::current;
+}
+
+std::vector<member> member_table::live_members() const
+{
+    std::vector<member> live;
+    if (self_.status == member_status::alive) {
+        live.push_back(self_);
+    }
+    for (const auto& [id, it] : records_) {
+        if (is_usable(it)) {
+            live.push_back(it.info);
+        }
+    }
+    std::sort(live.begin(), live.end(), by_id);
+    return live;
+}
+
+std::vector<member> member_table::all_members() const
+{
+    std::vector<member> all;
+    for (const auto& [id, it] : records_) {
+        all.push_back(it.info);
+    }
+    std::sort(all.begin(), all.end(), by_id);
+    return all;
+}
+
+std::vector<member> member_table::callers_addresses() const
+{
+    auto members = live_members();
+    std::erase_if(members, [](const auto& it) { return it.caller_address.empty(); });
+    return members;
+}
+
+std::vector<std::string> member_table::unreachable_domains() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, it] : domains_) {
+        if (is_unreachable(name)) {
+            names.push_back(name);
+        }
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+void member_table::forget_members(steady_time now)
+{
+    if (now < next_forget_) {
+        return;
+    }
+    next_forget_ = now + std::chrono::seconds{1};
+    const auto is_forgotten = [&](const std::string& id) {
+        const auto& it = records_.at(id);
+        const bool is_silent = it.info.incarnation == 0 ||
+                               it.info.status == member_status::suspect ||
+                               it.info.status == member_status::dead;
+        return is_silent && !it.is_listed && now - it.last_listed >= config_.forget_after &&
+               now - it.since >= config_.forget_after;
+    };
+    const auto rest = std::stable_partition(ids_.begin(), ids_.end(),
+                                            [&](const auto& id) { return !is_forgotten(id); });
+    for (auto it = rest; it != ids_.end(); ++it) {
+        count_in_domain(records_.at(*it), -1);
+        records_.erase(*it);
+        ring_.erase(stable_hash(*it));
+        suspects_.erase(*it);
+        unverified_.erase(*it);
+        watched_.erase(*it);
+    }
+    ids_.erase(rest, ids_.end());
+}
+
+} // namespace almondline::membership
--- /dev/null
+++ b/src/membership/tests/member_table_test.cpp
@@ -0,0 +1,137 @@
+#include "membership/tests/fleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace almondline::membership;
+using namespace almondline::membership::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("a lost region stays suspect and is reported as unreachable until it answers again")
+{
+    for (const int members : {9, 60}) {
+        CAPTURE(members);
+        fleet f{members, 3, 0.05, 11};
+        f.run(seconds{10});
+        f.cut = {"domain-1"};
+        f.run(seconds{20});
+        const auto& inside = *f.tables.at(name_of(1));
+        const auto& outside = *f.tables.at(name_of(0));
+        CHECK(outside.unreachable_domains() == std::vector<std::string>{"domain-1"});
+        CHECK(inside.unreachable_domains() == std::vector<std::string>{"domain-0", "domain-2"});
+        CHECK(outside.state_of(name_of(1), 1000) == incarnation_state::silent);
+        CHECK(f.false_deaths == 0);
+        CHECK(outside.callers_addresses().size() == static_cast<std::size_t>(members) / 3 * 2);
+        f.cut.clear();
+        f.run(seconds{5});
+        CHECK(outside.unreachable_domains().empty());
+        CHECK(outside.callers_addresses().size() == static_cast<std::size_t>(members));
+        CHECK(inside.callers_addresses().size() == static_cast<std::size_t>(members));
+    }
+}
+
+TEST_CASE("a dead incarnation does not come back from a lagging list, a restarted one does")
+{
+    fleet f{9, 3, 0, 13};
+    f.run(seconds{5});
+    f.kill(name_of(4));
+    f.run(seconds{6});
+    for (int i = 0; i < 70; ++i) {
+        for (auto& [id, table] : f.tables) {
+            table->apply_list(f.list(), f.now());
+        }
+        f.run(seconds{1});
+        REQUIRE(f.is_excluded_everywhere(name_of(4)));
+    }
+    const auto& other = *f.tables.at(name_of(0));
+    CHECK(other.state_of(name_of(4), 1000) == incarnation_state::gone);
+    f.start(name_of(4), 2000);
+    f.run(seconds{3});
+    CHECK(f.count_status(name_of(4), member_status::alive) == 9);
+    CHECK(other.state_of(name_of(4), 1000) == incarnation_state::gone);
+    CHECK(other.state_of(name_of(4), 2000) == incarnation_state::current);
+}
+
+TEST_CASE("the list neither removes a member that answers nor keeps one that does not")
+{
+    fleet f{9, 3, 0, 17};
+    f.run(seconds{5});
+    f.listed.erase(name_of(2));   // runs, but the list does not know it yet
+    f.listed.erase(name_of(3));   // about to die
+    f.listed.insert(name_of(20)); // never answers
+    f.kill(name_of(3));
+    for (auto& [id, table] : f.tables) {
+        table->apply_list(f.list(), f.now());
+    }
+    f.run(seconds{70});
+    const auto& table = *f.tables.at(name_of(0));
+    CHECK(table.find(name_of(2))->status == member_status::alive);
+    CHECK(table.find(name_of(3)) == nullptr);
+    CHECK(table.callers_addresses().size() == 8);
+    CHECK(table.find(name_of(20))->incarnation == 0);
+    f.listed.erase(name_of(20));
+    f.tables.at(name_of(0))->apply_list(f.list(), f.now());
+    f.run(seconds{2});
+    CHECK(table.find(name_of(20)) == nullptr);
+}
+
+TEST_CASE("a leaving member is out of the callers' addresses, whichever source says so")
+{
+    fleet f{9, 3, 0.05, 19};
+    f.run(seconds{5});
+    f.tables.at(name_of(1))->set_leaving(f.now());
+    f.run(seconds{3});
+    CHECK(f.count_status(name_of(1), member_status::leaving) == 9);
+    auto instances = f.list();
+    instances[5].is_leaving = true; // entry-5 has not noticed
+    auto& table = *f.tables.at(name_of(0));
+    table.apply_list(instances, f.now());
+    CHECK(table.callers_addresses().size() == 7);
+    // A restart ends it even though the list lags: the entry concerned the old incarnation.
+    f.start(name_of(5), 3000);
+    f.run(seconds{2});
+    table.apply_list(instances, f.now());
+    CHECK(table.callers_addresses().size() == 8);
+}
+
+TEST_CASE("a member paused for 10 s declares nobody dead and comes back by its own refutation")
+{
+    fleet f{9, 3, 0, 23};
+    f.run(seconds{5});
+    auto paused = std::move(f.tables.at(name_of(6)));
+    f.kill(name_of(6));
+    f.run(seconds{10});
+    CHECK(f.count_status(name_of(6), member_status::dead) == 8);
+    f.kill(name_of(3)); // while the paused member cannot hear of it
+    f.run(seconds{10});
+    f.tables[name_of(6)] = std::move(paused);
+    f.run(seconds{4});
+    const auto& back = *f.tables.at(name_of(6));
+    CHECK(f.false_deaths <= 7); // the paused member, until the others hear of its return
+    CHECK(back.find(name_of(3))->status == member_status::dead);
+    CHECK(back.callers_addresses().size() == 8);
+    CHECK(f.is_excluded_everywhere(name_of(3)));
+    CHECK(f.count_status(name_of(6), member_status::alive) == 8);
+}
+
+TEST_CASE("a member started with a lower incarnation than its peers know outbids it")
+{
+    fleet f{9, 3, 0, 29};
+    f.run(seconds{5});
+    f.start(name_of(7), 500); // the machine's clock went back
+    f.run(seconds{4});
+    CHECK(f.tables.at(name_of(7))->self().incarnation == 1001);
+    CHECK(f.tables.at(name_of(0))->find(name_of(7))->incarnation == 1001);
+}
+
+TEST_CASE("a message that does not start with its sender's record is ignored")
+{
+    fleet f{3, 3, 0, 31};
+    f.run(seconds{2});
+    auto& table = *f.tables.at(name_of(0));
+    member claim = *table.find(name_of(1));
+    claim.status = member_status::dead;
+    CHECK(table.receive(name_of(2), {false, 5, {claim}, {}}, f.now()).empty());
+    CHECK(table.receive(name_of(2), {false, 5, {}, {}}, f.now()).empty());
+    CHECK(table.find(name_of(1))->status == member_status::alive);
+}
