--- /dev/null
+++ b/src/entry/internal/peer_explain.cpp
@@ -0,0 +1,99 @@
+#include "entry/internal/peer_explain.h"
+
+#include "common/hash.h"
+#include "peer/wire.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace almondline::entry {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::chrono::seconds answer_timeout{1};
+
+} // namespace
+
+peer_explain::peer_explain(std::string instance_id, const granting::decision_log& decisions,
+                           peer_sender& sender)
+    : instance_id_{std::move(instance_id)}, decisions_{decisions}, sender_{sender}
+{
+}
+
+void peer_explain::start(const std::string& request_id, const std::vector<std::string>& peers,
+                         steady_time now, deliver done)
+{
+    query made;
+    made.request_id = request_id;
+    made.missing = peers.size();
+    made.give_up = now + answer_timeout;
+    made.lines[instance_id_] = decisions_.explain(request_id);
+    made.done = std::move(done);
+    if (peers.empty()) {
+        finish(made);
+        return;
+    }
+    wire::explain_query question;
+    question.query_id = random_id();
+    question.request_id = request_id;
+    wire::envelope message;
+    message.__set_explain(question);
+    queries_.emplace(question.query_id, std::move(made));
+    for (const auto& it : peers) {
+        sender_.send(it, message);
+    }
+}
+
+void peer_explain::handle(const std::string& from, const wire::envelope& message)
+{
+    if (message.__isset.explain) {
+        wire::explain_reply reply;
+        reply.query_id = message.explain.query_id;
+        reply.lines = decisions_.explain(message.explain.request_id);
+        wire::envelope answer;
+        answer.__set_explained(reply);
+        sender_.send(from, answer);
+        return;
+    }
+    if (!message.__isset.explained) {
+        return;
+    }
+    const auto it = queries_.find(message.explained.query_id);
+    if (it == queries_.end() || it->second.lines.count(from) != 0) {
+        return;
+    }
+    it->second.lines[from] = message.explained.lines;
+    if (--it->second.missing == 0) {
+        finish(it->second);
+        queries_.erase(it);
+    }
+}
+
+void peer_explain::tick(steady_time now)
+{
+    std::erase_if(queries_, [&](const auto& it) {
+        if (now < it.second.give_up) {
+            return false;
+        }
+        finish(it.second);
+        return true;
+    });
+}
+
+void peer_explain::finish(const query& it) const
+{
+    json::array decisions;
+    for (const auto& [instance, lines] : it.lines) {
+        for (const auto& line : lines) {
+            decisions.push_back(json::object{{"instance", instance}, {"line", line}});
+        }
+    }
+    it.done(json::serialize(json::object{{"request_id", it.request_id},
+                                         {"unanswered_instances", it.missing},
+                                         {"decisions", std::move(decisions)}}));
+}
+
+} // namespace almondline::entry
--- /dev/null
+++ b/src/entry/internal/status_report.cpp
@@ -0,0 +1,120 @@
+#include "entry/internal/status_report.h"
+
+#include "routing/routing.h"
+#include "scheduling/queue.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace almondline::entry {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string_view status_name(membership::member_status status)
+{
+    using s = membership::member_status;
+    switch (status) {
+    case s::alive:
+        return "alive";
+    case s::suspect:
+        return "suspect";
+    case s::dead:
+        return "dead";
+    case s::leaving:
+        return "leaving";
+    }
+    return "dead";
+}
+
+json::object describe_member(const membership::member& it)
+{
+    return {{"id", it.id},
+            {"status", status_name(it.status)},
+            {"incarnation", it.incarnation},
+            {"failure_domain", it.failure_domain},
+            {"address", it.caller_address},
+            {"manifest_version", it.manifest_version}};
+}
+
+json::object describe_replica(const routing::replica& it)
+{
+    return {{"id", it.spec.id},
+            {"address", it.spec.address},
+            {"engine_class", it.spec.engine_class},
+            {"health", it.health == routing::replica_health::healthy ? "healthy" : "eased"},
+            {"leaving", it.is_leaving},
+            {"in_flight", it.in_flight},
+            {"max_in_flight", it.spec.max_in_flight},
+            {"prefill_tokens_per_second", it.prefill_rate},
+            {"decode_tokens_per_second", it.decode_rate},
+            {"kv_tokens_used", it.kv_tokens_used}};
+}
+
+json::object describe_pool(const std::string& name, granting::granter& granter)
+{
+    const auto queue = scheduling::status(granter.queue());
+    json::array tiers;
+    for (const auto& it : queue.tiers) {
+        tiers.push_back(json::object{{"tier", it.name},
+                                     {"waiting", it.waiting},
+                                     {"in_progress", it.in_progress},
+                                     {"reserved_slots", it.reserved_slots}});
+    }
+    json::array accounts;
+    for (const auto& [account, state] : granter.queue().accounts) {
+        accounts.push_back(json::object{{"account", account},
+                                        {"waiting", state.waiting},
+                                        {"in_progress", state.in_progress}});
+    }
+    json::array replicas;
+    for (const auto& it : granter.replicas().replicas) {
+        if (it.is_present) {
+            replicas.push_back(describe_replica(it));
+        }
+    }
+    const auto& counters = granter.counters();
+    return {{"pool", name},
+            {"waiting", queue.waiting},
+            {"in_progress", queue.in_progress},
+            {"grants", counters.grants},
+            {"sheds", counters.sheds},
+            {"refusals", counters.refusals},
+            {"expired_credits", counters.expired_credits},
+            {"tiers", std::move(tiers)},
+            {"accounts", std::move(accounts)},
+            {"replicas", std::move(replicas)}};
+}
+
+} // namespace
+
+std::string make_status_report(const status_sources& sources)
+{
+    json::array members;
+    for (const auto& it : sources.members.all_members()) {
+        members.push_back(describe_member(it));
+    }
+    json::array pools;
+    for (const auto& [name, granter] : sources.owned.granters()) {
+        pools.push_back(describe_pool(name, *granter));
+    }
+    const auto& self = sources.members.self();
+    const json::object report{
+        {"instance", self.id},
+        {"incarnation", self.incarnation},
+        {"failure_domain", self.failure_domain},
+        {"draining", sources.is_draining},
+        {"manifest", json::object{{"name", sources.manifest_name},
+                                  {"version", sources.manifest_version},
+                                  {"digest", sources.manifest_digest}}},
+        {"store", json::object{{"reachable", sources.is_store_reachable}}},
+        {"requests", json::object{{"waiting", sources.asker.waiting_count()},
+                                  {"dispatched", sources.asker.held_count()}}},
+        {"members", std::move(members)},
+        {"pools", std::move(pools)}};
+    return json::serialize(report);
+}
+
+} // namespace almondline::entry
--- /dev/null
+++ b/src/entry/internal/status_report.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "entry/internal/pools.h"
+#include "membership/member_table.h"
+#include "store/types/store_limits.h"
+
+#include <string>
+
+namespace almondline::entry {
+
+/// What the status report is made of.
+struct status_sources {
+    const membership::member_table& members;
+    const pools& owned;
+    const granting::asker& asker;
+    const store_call_counts& store_calls;
+    std::int64_t manifest_version = 0;
+    std::string manifest_digest;
+    std::string manifest_name;
+    bool is_draining = false;
+    bool is_store_reachable = false;
+};
+
+/// JSON of GET /operator/status.
+std::string make_status_report(const status_sources& sources);
+
+} // namespace almondline::entry
