--- a/src/standins/engine_service.cpp
+++ b/src/standins/engine_service.cpp
@@ -185,9 +185,7 @@
     const std::string message = read_chat(request.body, chat);
     if (!message.empty()) {
         ++entry_of(server.requests(), id).refused;
-        auto response = error_response(400, message);
-        response.headers.push_back({"X-Not-Admitted", "true"});
-        co_await exchange.reply(std::move(response));
+        co_await exchange.reply(error_response(400, message));
         co_return;
     }
     const std::string cause = refusal_cause(request, chat);
