--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -6,7 +6,7 @@
     clang-14 clang-format-14 clang-tidy-14 libclang-rt-14-dev
     libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev
     libthrift-dev libcli11-dev doctest-dev libssl-dev
-    curl jq python3-minimal shellcheck
+    curl jq python3 shellcheck
 )
 missing=()
 for name in "${packages[@]}"; do
