Add manifest distribution by two watchers a domain and by peers

Cause: 3,900 instances can't each watch the store; a change has to be in force everywhere within 5 s. Before: no module.

--- /dev/null
+++ b/src/distribution/internal/pointer_watch.cpp
@@ -0,0 +1,78 @@
+#include "distribution/internal/pointer_watch.h"
+
+#include "common/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondline::distribution {
+
+pointer_watch::pointer_watch(key_value_store& store, const clock_source& clock, watch_config config,
+                             std::uint64_t seed, record_handler handler)
+    : store_{store}, clock_{clock}, config_{std::move(config)}, random_{seed}, handler_{std::move(
+                                                                                   handler)}
+{
+}
+
+void pointer_watch::tick(bool is_active, steady_time now)
+{
+    if (!is_active || is_waiting_ || now < next_try_) {
+        return;
+    }
+    is_waiting_ = true;
+    ++calls_;
+    const std::weak_ptr<int> alive = alive_;
+    const auto handler = [this, alive](const get_result& answer) {
+        if (!alive.expired()) {
+            on_answer(answer);
+        }
+    };
+    if (is_read_) {
+        store_.watch(config_.key, revision_, config_.wait, handler);
+    }
+    else {
+        store_.get(config_.key, handler); // a watch doesn't tell a missing record at once
+    }
+}
+
+void pointer_watch::on_answer(const get_result& answer)
+{
+    if (answer.status == get_status::failed) {
+        back_off(answer.message);
+        return;
+    }
+    is_read_ = true;
+    if (answer.status != get_status::found || answer.revision <= revision_) {
+        is_waiting_ = false;
+        backoff_ = std::chrono::milliseconds{0};
+        return;
+    }
+    const std::weak_ptr<int> alive = alive_;
+    handler_(answer, [this, alive, revision = answer.revision](bool is_used) {
+        if (alive.expired()) {
+            return;
+        }
+        if (!is_used) {
+            back_off("the record or its body could not be used");
+            return;
+        }
+        revision_ = revision;
+        is_waiting_ = false;
+        backoff_ = std::chrono::milliseconds{0};
+    });
+}
+
+void pointer_watch::back_off(const std::string& cause)
+{
+    is_waiting_ = false;
+    ++failures_;
+    backoff_ = std::clamp(backoff_ * 2, config_.first_backoff, config_.max_backoff);
+    // Between half and all of the back-off, so that the watchers don't return together.
+    const auto half = backoff_.count() / 2;
+    const auto jitter = std::uniform_int_distribution<std::int64_t>{0, half}(random_);
+    next_try_ = clock_.now() + std::chrono::milliseconds{half + jitter};
+    log_event("distribution", log_level::warning, "store-watch-failed",
+              {{"cause", cause}, {"backoff_ms", backoff_.count()}});
+}
+
+} // namespace almondline::distribution
--- /dev/null
+++ b/src/distribution/tests/distribution_test.cpp
@@ -0,0 +1,203 @@
+#include "distribution/tests/distribution_fleet.h"
+#include "distribution/wire_format.h"
+#include "peer/wire.h"
+
+#include <doctest/doctest.h>
+
+using namespace almondline;
+using namespace almondline::distribution;
+using namespace almondline::distribution::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("a change is in force at 100 members within 5 s, with few store calls")
+{
+    struct row {
+        double loss;
+        bool are_announcements_lost;
+        std::size_t text_bytes;
+    };
+    const row rows[] = {{0, false, 20'000},      {0.05, false, 20'000}, {0.2, false, 20'000},
+                        {0, true, 20'000},       {0.2, true, 20'000},   {0, false, 1'000'000},
+                        {0.05, false, 1'000'000}};
+    for (const auto& it : rows) {
+        CAPTURE(it.loss);
+        CAPTURE(it.are_announcements_lost);
+        CAPTURE(it.text_bytes);
+        distribution_fleet f{100, 3, it.loss, 5};
+        f.publish(1, "first");
+        f.run(seconds{20});
+        f.are_announcements_lost = it.are_announcements_lost;
+        REQUIRE(f.is_everywhere(1));
+        const auto reads = f.store.reads();
+        const auto messages = f.messages;
+        const auto bytes = f.bytes;
+        f.publish(2, std::string(it.text_bytes, 'x'));
+        const auto spent = f.time_until(2);
+        CHECK(spent <= seconds{5});
+        // Two watchers in each of 3 domains: one body and one new watch each.
+        CHECK(f.store.reads() - reads <= 12);
+        for (const auto& [id, m] : f.instances) {
+            CHECK(m.text.size() == it.text_bytes);
+        }
+        MESSAGE("loss " << it.loss << ", announcements lost " << it.are_announcements_lost << ", "
+                        << it.text_bytes << " bytes: " << spent.count() << " ms, "
+                        << f.messages - messages << " messages, " << f.bytes - bytes << " bytes, "
+                        << f.store.reads() - reads << " store reads");
+    }
+}
+
+TEST_CASE("only two instances of each failure domain call the store")
+{
+    distribution_fleet f{30, 3, 0, 7};
+    f.publish(1, "first");
+    f.run(seconds{10});
+    int watchers = 0;
+    for (const auto& [id, it] : f.instances) {
+        watchers += it.distributor->is_watcher() ? 1 : 0;
+        CHECK((it.distributor->store_calls() > 0) == it.distributor->is_watcher());
+    }
+    CHECK(watchers == 6);
+}
+
+TEST_CASE("in a store outage the back-off bounds the calls, and the manifest stays in force")
+{
+    distribution_fleet f{10, 1, 0, 9};
+    f.publish(1, "first");
+    f.run(seconds{5});
+    f.store.set_down(true);
+    const auto reads = f.store.reads();
+    f.run(seconds{60});
+    // At 10 s between half and full back-off two watchers make 6 to 12 calls a minute each.
+    CHECK(f.store.reads() - reads <= 40);
+    CHECK(f.is_everywhere(1));
+    f.store.set_down(false);
+    f.publish(2, "second");
+    CHECK(f.time_until(2) <= seconds{12});
+}
+
+TEST_CASE("an instance restarted in an outage is ready only with the version of its peers")
+{
+    distribution_fleet f{10, 2, 0.2, 11};
+    f.publish(1, "first");
+    f.run(seconds{5});
+    f.publish(2, "second");
+    f.run(seconds{5});
+    f.store.set_down(true);
+    f.start(3);
+    auto& restarted = *f.instances.at("entry-3").distributor;
+    CHECK_FALSE(restarted.is_ready());
+    f.run(seconds{5});
+    CHECK(restarted.is_ready());
+    CHECK(f.instances.at("entry-3").applied == std::vector<std::int64_t>{2});
+}
+
+TEST_CASE("a peer that holds an old version doesn't make a new instance ready before the others")
+{
+    manual_clock clock;
+    fake_key_value_store store{clock};
+    std::vector<membership::member> members;
+    for (const auto* id : {"a", "b", "c", "new"}) {
+        members.emplace_back();
+        members.back().id = id;
+    }
+    distribution_callbacks callbacks;
+    callbacks.send = [](const std::string&, const message&) {};
+    callbacks.live_members = [&] { return members; };
+    callbacks.read_body = [](const get_result&, const auto&) {};
+    callbacks.apply = [](const manifest_copy&, const std::string&) { return true; };
+    manifest_distributor distributor{{"new", {}, {}}, callbacks, store, clock, 1};
+    store.set_down(true);
+    distributor.tick(clock.now());
+    const auto now = clock.now();
+    distributor.receive("a", announcement{1, sha256_hex("old")}, now);
+    distributor.receive("a", body_chunk{1, sha256_hex("old"), 0, 1, "old"}, now);
+    CHECK(distributor.version() == 1);
+    CHECK_FALSE(distributor.is_ready());
+    distributor.receive("b", announcement{2, sha256_hex("new")}, now);
+    distributor.receive("c", announcement{1, sha256_hex("old")}, now);
+    CHECK_FALSE(distributor.is_ready());
+    distributor.receive("b", body_chunk{2, sha256_hex("new"), 0, 1, "new"}, now);
+    CHECK(distributor.is_ready());
+    distributor.receive("a", body_chunk{1, sha256_hex("old"), 0, 1, "old"}, now);
+    CHECK(distributor.version() == 2);
+}
+
+TEST_CASE("a text without its digest is rejected and taken from another peer")
+{
+    distribution_fleet f{20, 1, 0, 13};
+    f.publish(1, "first");
+    f.run(seconds{5});
+    for (const auto& [id, it] : f.instances) {
+        if (it.distributor->is_watcher()) {
+            f.corrupting = id; // the one that most others would pull from
+        }
+    }
+    f.publish(2, std::string(300'000, 'x'));
+    CHECK(f.time_until(2) <= seconds{5});
+    std::uint64_t bad = 0;
+    for (const auto& [id, it] : f.instances) {
+        CHECK(it.text == std::string(300'000, 'x'));
+        bad += it.distributor->counters().bad_bodies;
+    }
+    CHECK(bad > 0);
+}
+
+TEST_CASE("chunks that don't fit together are rejected")
+{
+    const body_chunk sound{2, "d", 0, 2, "a"};
+    const body_chunk rows[] = {{1, "d", 1, 2, "b"},
+                               {2, "e", 1, 2, "b"},
+                               {2, "d", 2, 2, "b"},
+                               {2, "d", -1, 2, "b"},
+                               {2, "d", 1, 3, "b"},
+                               {2, "d", 0, 1'000'000, "b"},
+                               {2, "d", 1, 2, std::string(chunk_bytes + 1, 'b')}};
+    for (const auto& it : rows) {
+        incoming_body body;
+        body.wanted = 2;
+        CHECK(add_chunk(body, sound, {}) == chunk_result::incomplete);
+        CHECK(add_chunk(body, it, {}) == chunk_result::invalid);
+    }
+}
+
+TEST_CASE("30 changes in a row reach everybody without a reversion")
+{
+    distribution_fleet f{40, 3, 0.05, 17};
+    for (int version = 1; version <= 30; ++version) {
+        f.publish(version, "text " + std::to_string(version));
+        f.run(milliseconds{300});
+    }
+    CHECK(f.time_until(30) <= seconds{5});
+    CHECK_FALSE(f.has_reversion());
+}
+
+TEST_CASE("a version that this instance can't use is neither applied nor fetched again and again")
+{
+    distribution_fleet f{6, 1, 0, 19};
+    f.publish(1, "first");
+    f.run(seconds{5});
+    const auto messages = f.messages;
+    f.publish(2, "invalid");
+    f.run(seconds{20});
+    CHECK(f.is_everywhere(1));
+    CHECK(f.messages == messages);
+    f.publish(3, "third");
+    CHECK(f.time_until(3) <= seconds{5});
+}
+
+TEST_CASE("distribution messages keep every field over the wire")
+{
+    const message sent[] = {announcement{3, "d"}, body_request{4},
+                            body_chunk{5, "d", 1, 2, "text"}};
+    for (const auto& it : sent) {
+        wire::envelope envelope;
+        to_wire(it, envelope);
+        message received;
+        REQUIRE(from_wire(envelope, received));
+        REQUIRE(received.index() == it.index());
+        wire::envelope again;
+        to_wire(received, again);
+        CHECK(again == envelope);
+    }
+}
