Add almondctl with manifest and operator commands

Cause: operators need to publish manifests, inspect an entry instance and change its log level or drain it, by hand and from scripts.

--- /dev/null
+++ b/src/ctl/internal/options.cpp
@@ -0,0 +1,91 @@
+#include "ctl/internal/options.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cstdlib>
+
+namespace almondline::ctl {
+
+namespace {
+
+const std::vector<setting_spec>& known_settings()
+{
+    static const std::vector<setting_spec> spec{
+        {"store", "addresses", setting_type::addresses, false, "", "key-value service"},
+        {"entry", "address", setting_type::address, false, "", "entry instance for operators"},
+        {"operator", "key_file", setting_type::text, false, "", "file that holds the key"},
+        {"operator", "name", setting_type::text, false, "", "name in the manifest history"},
+    };
+    return spec;
+}
+
+std::string load_file(const std::string& path, flag_values& values)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_AUTO(file, load_settings(path, known_settings()));
+            values.store_addresses = file.text("store.addresses");
+            values.entry_address = file.text("entry.address");
+            values.key_file = file.text("operator.key_file");
+            values.operator_name = file.text("operator.name");
+            return std::string{};
+        },
+        [](const parse_error& e) { return to_string(e); },
+        [&] { return path + ": cannot be read"; });
+}
+
+std::string parse_addresses(const std::string& text, std::vector<endpoint_text>& addresses)
+{
+    const settings parsed{{{"flags.store", text}}};
+    for (const auto& it : parsed.list("flags.store")) {
+        endpoint_text address;
+        if (!parse_endpoint(it, address)) {
+            return "\"" + it + "\" is not an address of the form IP:PORT";
+        }
+        addresses.push_back(address);
+    }
+    return {};
+}
+
+std::string environment(const char* name)
+{
+    const char* value = std::getenv(name);
+    return value == nullptr ? std::string{} : value;
+}
+
+void override_with(std::string& value, const std::string& flag)
+{
+    if (!flag.empty()) {
+        value = flag;
+    }
+}
+
+} // namespace
+
+std::string load_options(const flag_values& flags, ctl_options& options)
+{
+    flag_values values;
+    options.config_path = flags.config_path;
+    if (options.config_path.empty()) {
+        options.config_path = environment("ALMONDCTL_CONFIG");
+    }
+    if (!options.config_path.empty()) {
+        auto fault = load_file(options.config_path, values);
+        if (!fault.empty()) {
+            return fault;
+        }
+    }
+    override_with(values.store_addresses, flags.store_addresses);
+    override_with(values.entry_address, flags.entry_address);
+    override_with(values.key_file, flags.key_file);
+    override_with(values.operator_name, flags.operator_name);
+    options.key_file = values.key_file;
+    options.operator_name =
+        values.operator_name.empty() ? environment("USER") : values.operator_name;
+    if (!values.entry_address.empty() &&
+        !parse_endpoint(values.entry_address, options.entry_address)) {
+        return "\"" + values.entry_address + "\" is not an address of the form IP:PORT";
+    }
+    return parse_addresses(values.store_addresses, options.store_addresses);
+}
+
+} // namespace almondline::ctl
--- /dev/null
+++ b/src/ctl/internal/options.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "ctl/types/ctl_context.h"
+
+#include <string>
+
+namespace almondline::ctl {
+
+/// Values of the flags, empty if not given.
+struct flag_values {
+    std::string config_path;
+    std::string store_addresses;
+    std::string entry_address;
+    std::string key_file;
+    std::string operator_name;
+};
+
+/// Merges the INI file with the flags, which have precedence. Returns an empty text or the fault.
+std::string load_options(const flag_values& flags, ctl_options& options);
+
+} // namespace almondline::ctl
--- a/src/manifest/publish.cpp
+++ b/src/manifest/publish.cpp
@@ -91,7 +91,7 @@
 void publish_operation::check_base(const get_result& r)
 {
     if (r.status == get_status::failed) {
-        finish(publish_status::refused, "the current version can't be read: " + r.message);
+        finish(publish_status::unreachable, "the current version can't be read: " + r.message);
         return;
     }
     manifest_pointer before;
@@ -237,7 +237,7 @@
         options.wait(options.settle_interval, std::move(action));
         return;
     }
-    finish(may_be_published ? publish_status::undecided : publish_status::refused, cause);
+    finish(may_be_published ? publish_status::undecided : publish_status::unreachable, cause);
 }
 
 void publish_operation::lose_race(const manifest_pointer& now)
--- a/src/manifest/publish.h
+++ b/src/manifest/publish.h
@@ -22,10 +22,11 @@
 
 enum class publish_status {
     published,
-    superseded, ///< published, and replaced by a later version meanwhile
-    lost_race,  ///< not published: the version that it was based on is not current
-    refused,    ///< not published: invalid text, or the store refused a write
-    undecided   ///< the answer was lost and reading back failed; the publish id settles it later
+    superseded,  ///< published, and replaced by a later version meanwhile
+    lost_race,   ///< not published: the version that it was based on is not current
+    refused,     ///< not published: invalid text, or the store refused a write
+    unreachable, ///< not published: the store can't be read
+    undecided    ///< the answer was lost and reading back failed; the publish id settles it later
 };
 
 struct publish_result {
--- a/src/manifest/tests/publish_test.cpp
+++ b/src/manifest/tests/publish_test.cpp
@@ -196,7 +196,7 @@
     CHECK(f.publish("a", 4).message ==
           "the store holds no manifest, the change is based on version 4");
     f.store.set_down(true);
-    CHECK(f.publish("a", 0).status == publish_status::refused);
+    CHECK(f.publish("a", 0).status == publish_status::unreachable);
     CHECK(f.store.writes() == 0);
 }
 
