Add placement under a store lease with fencing and a pure planner

Cause: placement control needs one holder at a time, also while a holder is paused, the store is down, an answer is lost, or engines ignore the fencing number.

The lease is counted from before the call that granted or renewed it, orders stop at order_margin before its end, and a new holder waits a lifetime plus the margin. Each order asks the clock anew, because the process may be paused between two orders of one plan. Ruled out: a watch on the record to learn of its deletion, since the service only promises an answer for a higher revision; candidates look at the record every 5 s instead.

--- /dev/null
+++ b/src/placement/lease_keeper.cpp
@@ -0,0 +1,236 @@
+#include "placement/lease_keeper.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+
+namespace almondline::placement {
+
+struct lease_keeper::state : std::enable_shared_from_this<state> {
+    state(key_value_store& kv, const clock_source& time, std::string record, std::string instance,
+          lease_settings lease)
+        : store{kv}, clock{time}, key{std::move(record)},
+          instance_id{std::move(instance)}, settings{lease}
+    {
+    }
+
+    void tick(steady_time now);
+    void look();
+    void note_record(const get_result& r);
+    void grant(steady_time now);
+    void write(steady_time granted_at);
+    void note_write(const put_result& r, steady_time granted_at);
+    void read_back(steady_time granted_at);
+    void hold(std::uint64_t revision, steady_time granted_at);
+    void renew(steady_time now);
+    void note_renewal(const lease_result& r, steady_time sent);
+    void release(const std::string& reason);
+    void wait_until_next(std::chrono::milliseconds time) { next_call = clock.now() + time; }
+
+    /// Handlers of calls made before a release are ignored.
+    template <class Result, class Function>
+    std::function<void(const Result&)> handler(Function function)
+    {
+        is_calling = true;
+        return [self = shared_from_this(), at = generation, function](const Result& r) {
+            if (self->is_closed || self->generation != at) {
+                return;
+            }
+            self->is_calling = false;
+            function(r);
+        };
+    }
+
+    key_value_store& store;
+    const clock_source& clock;
+    std::string key;
+    std::string instance_id;
+    lease_settings settings;
+    bool is_closed = false;
+    bool is_candidate = true;
+    bool is_calling = false;
+    std::uint64_t generation = 0;
+    steady_time next_call{};
+    std::string lease_id;
+    std::string claim; ///< value of the record, unique for each acquisition
+    std::uint64_t fencing = 0;
+    steady_time valid_until{};
+    steady_time orders_from{};
+};
+
+void lease_keeper::state::tick(steady_time now)
+{
+    if (!is_candidate || is_calling || now < next_call) {
+        return;
+    }
+    if (fencing != 0 && now >= valid_until + settings.lifetime) {
+        release("it could not be renewed for two lifetimes");
+    }
+    if (fencing != 0) {
+        renew(now);
+        return;
+    }
+    look();
+}
+
+void lease_keeper::state::look()
+{
+    store.get(key, handler<get_result>([this](const get_result& r) { note_record(r); }));
+}
+
+void lease_keeper::state::note_record(const get_result& r)
+{
+    if (r.status == get_status::missing) {
+        grant(clock.now());
+        return;
+    }
+    wait_until_next(r.status == get_status::found ? settings.poll_interval
+                                                  : settings.retry_interval);
+}
+
+void lease_keeper::state::grant(steady_time now)
+{
+    store.grant_lease(settings.lifetime, handler<lease_result>([this, now](const lease_result& r) {
+                          if (!r.is_granted) {
+                              // A lease whose answer was lost has no record and lapses by itself.
+                              wait_until_next(settings.retry_interval);
+                              return;
+                          }
+                          lease_id = r.lease_id;
+                          claim = instance_id + " " + random_id();
+                          write(now);
+                      }));
+}
+
+void lease_keeper::state::write(steady_time granted_at)
+{
+    store.compare_and_swap(key, 0, claim, lease_id,
+                           handler<put_result>([this, granted_at](const put_result& r) {
+                               note_write(r, granted_at);
+                           }));
+}
+
+void lease_keeper::state::note_write(const put_result& r, steady_time granted_at)
+{
+    if (r.status == put_status::done) {
+        hold(r.revision, granted_at);
+        return;
+    }
+    if (r.status == put_status::unknown) {
+        read_back(granted_at);
+        return;
+    }
+    release("the record was not acquired");
+    wait_until_next(r.status == put_status::conflict ? settings.poll_interval
+                                                     : settings.retry_interval);
+}
+
+void lease_keeper::state::read_back(steady_time granted_at)
+{
+    store.get(key, handler<get_result>([this, granted_at](const get_result& r) {
+                  if (r.status == get_status::found && r.value == claim) {
+                      hold(r.revision, granted_at);
+                      return;
+                  }
+                  // Revoking the lease also undoes a write that arrives late.
+                  release("the answer to the acquisition was lost");
+                  wait_until_next(settings.retry_interval);
+              }));
+}
+
+void lease_keeper::state::hold(std::uint64_t revision, steady_time granted_at)
+{
+    const auto now = clock.now();
+    fencing = revision;
+    valid_until = granted_at + settings.lifetime;
+    orders_from = now + settings.lifetime + settings.order_margin;
+    next_call = granted_at + settings.renew_interval;
+    log_event("placement", log_level::info, "lease-acquired",
+              {{"fencing", fencing}, {"lease", lease_id}});
+}
+
+void lease_keeper::state::renew(steady_time now)
+{
+    store.renew_lease(lease_id, handler<lease_result>(
+                                    [this, now](const lease_result& r) { note_renewal(r, now); }));
+}
+
+void lease_keeper::state::note_renewal(const lease_result& r, steady_time sent)
+{
+    if (r.is_lost) {
+        release("the lease lapsed in the store");
+        wait_until_next(settings.retry_interval);
+        return;
+    }
+    if (!r.is_granted) {
+        wait_until_next(settings.retry_interval);
+        return;
+    }
+    // A renewal also proves that the record was held all the time, so no new wait is needed even
+    // if the lease had ended by the local clock.
+    valid_until = sent + settings.lifetime;
+    next_call = sent + settings.renew_interval;
+}
+
+void lease_keeper::state::release(const std::string& reason)
+{
+    ++generation;
+    is_calling = false;
+    if (fencing != 0) {
+        log_event("placement", log_level::warning, "lease-given-up",
+                  {{"fencing", fencing}, {"reason", reason}});
+    }
+    fencing = 0;
+    if (!lease_id.empty()) {
+        store.revoke_lease(lease_id, [](const lease_result&) {});
+    }
+    lease_id.clear();
+}
+
+lease_keeper::lease_keeper(key_value_store& store, const clock_source& clock, std::string key,
+                           std::string instance_id, lease_settings settings)
+    : state_{
+          std::make_shared<state>(store, clock, std::move(key), std::move(instance_id), settings)}
+{
+}
+
+lease_keeper::~lease_keeper()
+{
+    state_->is_closed = true;
+}
+
+void lease_keeper::tick(steady_time now)
+{
+    state_->tick(now);
+}
+
+void lease_keeper::set_candidate(bool is_candidate)
+{
+    if (state_->is_candidate && !is_candidate) {
+        state_->release("this instance is no candidate any more");
+    }
+    state_->is_candidate = is_candidate;
+}
+
+void lease_keeper::step_down(const std::string& reason)
+{
+    state_->release(reason);
+    state_->wait_until_next(state_->settings.poll_interval);
+}
+
+bool lease_keeper::is_held() const
+{
+    return state_->fencing != 0;
+}
+
+bool lease_keeper::may_send_orders(steady_time now) const
+{
+    return is_held() && now >= state_->orders_from &&
+           now + state_->settings.order_margin < state_->valid_until;
+}
+
+std::uint64_t lease_keeper::fencing() const
+{
+    return state_->fencing;
+}
+
+} // namespace almondline::placement
--- /dev/null
+++ b/src/placement/lease_keeper.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "common/clock.h"
+#include "store/key_value_store.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace almondline::placement {
+
+struct lease_settings {
+    std::chrono::milliseconds lifetime{10'000};
+    std::chrono::milliseconds renew_interval{3'000};
+    std::chrono::milliseconds retry_interval{1'000};
+    /// Time between looks at a record that another instance holds.
+    std::chrono::milliseconds poll_interval{5'000};
+    /// No order is sent with less than this left of the lease. Longer than an order can take.
+    std::chrono::milliseconds order_margin{2'000};
+};
+
+/// Holds a record of the store under a lease. Driven by tick and the store's handlers on the
+/// control thread. The record's revision is the fencing number.
+///
+/// The lease is counted on the local monotonic clock from before the call that granted or renewed
+/// it was sent, so that it ends here before it ends in the store.
+class lease_keeper {
+public:
+    /// The store and the clock must outlive the object.
+    lease_keeper(key_value_store& store, const clock_source& clock, std::string key,
+                 std::string instance_id, lease_settings settings);
+    ~lease_keeper();
+    lease_keeper(const lease_keeper&) = delete;
+    lease_keeper& operator=(const lease_keeper&) = delete;
+
+    /// Acquires or renews the lease. To be called several times a second.
+    void tick(steady_time now);
+    /// Gives the lease up and does not acquire it until it may again. For draining instances, and
+    /// to limit how many instances poll the record.
+    void set_candidate(bool is_candidate);
+    /// Gives the lease up after learning that another holder exists.
+    void step_down(const std::string& reason);
+
+    /// True if the record is held. Alone it does not allow orders.
+    bool is_held() const;
+    /// True if an order may be sent now: the record is held, more than order_margin of the lease is
+    /// left, and a lease lifetime and the margin have passed since the record was acquired. The
+    /// wait covers orders of a former holder to engines that ignore the fencing number.
+    bool may_send_orders(steady_time now) const;
+    /// Revision of the record, 0 if it is not held.
+    std::uint64_t fencing() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace almondline::placement
--- /dev/null
+++ b/src/placement/placement_duty.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "manifest/types/manifest.h"
+#include "placement/lease_keeper.h"
+#include "placement/order_sender.h"
+#include "placement/types/placement.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace almondline::placement {
+
+constexpr const char* placement_lease_key = "placement/lease";
+
+struct placement_settings {
+    lease_settings lease;
+    plan_settings plan;
+    std::chrono::milliseconds plan_interval{1'000};
+    /// Limit of one order. At most half of the lease's order_margin is used.
+    std::chrono::milliseconds order_timeout{1'000};
+    double weight_mb_per_second = 500; ///< rate limit of the weight store
+    double weight_burst_mb = 60'000;
+};
+
+/// What the plan depends on.
+struct placement_input {
+    std::vector<model_demand> demand;
+    std::vector<replica_status> replicas;
+    std::vector<placement_policy> policies;
+};
+
+/// Control of model placement. Runs on each candidate instance; the one that holds the lease plans
+/// and sends orders. Used on the control thread.
+class placement_duty {
+public:
+    /// The references must outlive the object. read_input is called before each plan.
+    placement_duty(key_value_store& store, const clock_source& clock, order_sender& sender,
+                   std::function<placement_input()> read_input, std::string instance_id,
+                   placement_settings settings);
+    ~placement_duty();
+    placement_duty(const placement_duty&) = delete;
+    placement_duty& operator=(const placement_duty&) = delete;
+
+    /// Keeps the lease and, when it is due, plans and sends orders.
+    void tick(steady_time now);
+    void set_candidate(bool is_candidate);
+
+    bool is_holder() const;
+    std::uint64_t fencing() const;
+    std::uint64_t orders_sent() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace almondline::placement
--- /dev/null
+++ b/src/placement/plan.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "manifest/types/manifest.h"
+#include "placement/types/placement.h"
+
+#include <vector>
+
+namespace almondline::placement {
+
+/// Decides the next steps that bring each model to its wanted number of replicas: drain a replica
+/// of a model with a surplus, load the model after the last request finished, serve. The number
+/// follows the load with hysteresis and stays within the policy's limits; below min_replicas it
+/// acts at once. Loads wait for the weight budget. A model that nobody lacks stays loaded.
+std::vector<placement_decision> plan_placement(plan_state& state,
+                                               const std::vector<model_demand>& demand,
+                                               const std::vector<replica_status>& replicas,
+                                               const std::vector<placement_policy>& policies,
+                                               weight_budget& budget, const plan_settings& settings,
+                                               steady_time now);
+
+} // namespace almondline::placement
--- /dev/null
+++ b/src/placement/tests/duty_test.cpp
@@ -0,0 +1,279 @@
+#include "placement/placement_duty.h"
+#include "store/tests/fake_key_value_store.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace almondline;
+using namespace almondline::placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct fake_engine {
+    bool checks_fencing = true;
+    std::uint64_t highest = 0;
+    std::vector<std::uint64_t> accepted; ///< fencing numbers of the orders that took effect
+};
+
+/// Engines "old" and "new" behind an order_sender that can hold orders back.
+class fake_sender final : public order_sender {
+public:
+    explicit fake_sender(const manual_clock& clock) : clock_{clock} {}
+
+    void send(const placement_order& order, std::chrono::milliseconds timeout,
+              std::function<void(order_status)> done) override
+    {
+        if (before_send) {
+            std::exchange(before_send, nullptr)();
+        }
+        held_.push_back({order, clock_.now() + timeout, std::move(done)});
+        if (!is_holding) {
+            deliver();
+        }
+    }
+
+    /// Delivers what was held back. The deadline of an order ends its delivery.
+    void deliver()
+    {
+        while (!held_.empty()) {
+            const auto it = std::move(held_.front());
+            held_.pop_front();
+            if (clock_.now() > it.deadline && !ignores_deadline) {
+                it.done(order_status::unknown);
+                continue;
+            }
+            auto& engine = engines[it.order.replica_id];
+            const bool is_stale = engine.checks_fencing && it.order.fencing < engine.highest;
+            if (!is_stale) {
+                engine.highest = it.order.fencing;
+                engine.accepted.push_back(it.order.fencing);
+            }
+            it.done(is_stale ? order_status::stale : order_status::done);
+        }
+    }
+
+    std::map<std::string, fake_engine> engines{{"strict", {true, 0, {}}}, {"lax", {false, 0, {}}}};
+    bool is_holding = false;
+    bool ignores_deadline = false;
+    std::function<void()> before_send;
+
+private:
+    struct held_order {
+        placement_order order;
+        steady_time deadline;
+        std::function<void(order_status)> done;
+    };
+    const manual_clock& clock_;
+    std::deque<held_order> held_;
+};
+
+struct instance {
+    instance(fake_key_value_store& store, const manual_clock& clock, const std::string& id)
+        : sender{clock}, duty{store, clock, sender, [this] { return input; }, id, {}}
+    {
+        // Both engines lack the model that the policy wants, and never load it.
+        input.policies = {{"m", 1, 2, 2}};
+        input.replicas = {{"strict", "127.0.0.1:1", "d1", "x"}, {"lax", "127.0.0.1:2", "d2", "x"}};
+    }
+
+    placement_input input;
+    fake_sender sender;
+    placement_duty duty;
+};
+
+struct fixture {
+    manual_clock clock;
+    fake_key_value_store store{clock};
+    instance first{store, clock, "e1"};
+    instance second{store, clock, "e2"};
+
+    void run(std::chrono::milliseconds time, const std::vector<instance*>& running)
+    {
+        for (auto passed = 0ms; passed < time; passed += 100ms) {
+            clock.advance(100ms);
+            for (auto* it : running) {
+                it->duty.tick(clock.now());
+                store.run();
+            }
+        }
+    }
+    std::uint64_t orders() const { return first.duty.orders_sent() + second.duty.orders_sent(); }
+};
+
+constexpr auto lifetime_and_margin = 12s;
+
+} // namespace
+
+TEST_CASE("one instance holds the lease and sends its first order after a lifetime and the margin")
+{
+    fixture f;
+    f.run(1s, {&f.first, &f.second});
+    CHECK(f.first.duty.is_holder());
+    CHECK_FALSE(f.second.duty.is_holder());
+    CHECK(f.first.duty.fencing() == f.store.revision(placement_lease_key));
+    f.run(lifetime_and_margin - 1s, {&f.first, &f.second});
+    CHECK(f.orders() == 0);
+    f.run(60s, {&f.first, &f.second});
+    CHECK(f.first.duty.orders_sent() > 0);
+    CHECK(f.second.duty.orders_sent() == 0);
+    CHECK(f.store.lease_count() == 1);
+}
+
+// Guards against two holders ordering the same engine: the one that was paused must not send after
+// it wakes up, whatever it had planned before.
+TEST_CASE("a holder that was paused sends nothing until it holds the lease again")
+{
+    fixture f;
+    f.run(20s, {&f.first, &f.second});
+    REQUIRE(f.first.duty.is_holder());
+    const auto before = f.first.duty.orders_sent();
+    f.run(40s, {&f.second});
+    CHECK(f.second.duty.is_holder());
+    CHECK(f.second.duty.orders_sent() > 0);
+    CHECK(f.second.duty.fencing() > f.first.duty.fencing());
+    f.run(30s, {&f.first, &f.second});
+    CHECK(f.first.duty.orders_sent() == before);
+    CHECK_FALSE(f.first.duty.is_holder());
+}
+
+TEST_CASE("a pause between two orders of one plan stops the second one")
+{
+    fixture f;
+    f.run(13s, {&f.first});
+    REQUIRE(f.first.duty.is_holder());
+    f.first.sender.engines.clear();
+    f.first.input.policies[0].model = "n";
+    f.first.input.replicas = {{"r1", "", "", ""}, {"r2", "", "", ""}};
+    const auto before = f.first.duty.orders_sent();
+    f.first.sender.before_send = [&] { f.clock.advance(9s); };
+    for (int i = 0; i < 30 && f.first.duty.orders_sent() == before; ++i) {
+        f.run(100ms, {&f.first});
+    }
+    CHECK(f.first.duty.orders_sent() == before + 1);
+}
+
+TEST_CASE("an order held up in a pause is refused by fencing, or kept from lax engines by time")
+{
+    for (const bool ignores_deadline : {false, true}) {
+        CAPTURE(ignores_deadline);
+        fixture f;
+        // The engines are the same for both instances.
+        f.run(11s, {&f.first});
+        f.first.sender.is_holding = true;
+        f.run(4s, {&f.first});
+        REQUIRE(f.first.duty.orders_sent() == 2);
+        const auto old_fencing = f.first.duty.fencing();
+        f.run(40s, {&f.second});
+        REQUIRE(f.second.duty.orders_sent() > 0);
+        f.first.sender.engines = f.second.sender.engines;
+        f.first.sender.ignores_deadline = ignores_deadline;
+        f.first.sender.deliver();
+        const auto& strict = f.first.sender.engines["strict"];
+        const auto& lax = f.first.sender.engines["lax"];
+        CHECK(std::count(strict.accepted.begin(), strict.accepted.end(), old_fencing) == 0);
+        // Only the deadline protects a lax engine from an order that arrives this late.
+        CHECK(std::count(lax.accepted.begin(), lax.accepted.end(), old_fencing) ==
+              (ignores_deadline ? 1 : 0));
+    }
+}
+
+TEST_CASE("a former holder's last deliverable order ends before the next holder's first one")
+{
+    fixture f;
+    f.run(30s, {&f.first, &f.second});
+    const auto before = f.first.duty.orders_sent();
+    f.store.set_down(true);
+    std::uint64_t last_count = before;
+    steady_time last_order = f.clock.now();
+    for (int i = 0; i < 300; ++i) {
+        f.run(100ms, {&f.first, &f.second});
+        if (f.first.duty.orders_sent() > last_count) {
+            last_count = f.first.duty.orders_sent();
+            last_order = f.clock.now();
+        }
+    }
+    f.store.set_down(false);
+    while (f.second.duty.orders_sent() == 0) {
+        f.run(100ms, {&f.second});
+    }
+    CHECK(f.clock.now() - last_order > lifetime_and_margin);
+}
+
+TEST_CASE("an outage stops orders before the lease ends, and they resume afterwards")
+{
+    fixture f;
+    f.run(30s, {&f.first});
+    const auto fencing = f.first.duty.fencing();
+    f.store.set_down(true);
+    f.run(8s, {&f.first});
+    const auto stopped = f.first.duty.orders_sent();
+    f.run(30s, {&f.first});
+    CHECK(f.first.duty.orders_sent() == stopped);
+    f.store.set_down(false);
+    f.run(5s, {&f.first});
+    CHECK(f.first.duty.is_holder());
+    CHECK(f.first.duty.fencing() > fencing);
+    CHECK(f.first.duty.orders_sent() == stopped);
+    f.run(20s, {&f.first});
+    CHECK(f.first.duty.orders_sent() > stopped);
+}
+
+TEST_CASE("lost answers to lease calls end with one holder and no record without a lease")
+{
+    using enum store_fault;
+    struct row {
+        const char* name;
+        std::vector<store_fault> faults; ///< of the grant, the record, the renewals
+    };
+    const row rows[] = {
+        {"grant answer lost", {lose_answer}},
+        {"grant request lost", {lose_request}},
+        {"record answer lost", {none, lose_answer}},
+        {"record request lost", {none, lose_request}},
+        {"record late", {none, late_write}},
+        {"record refused", {none, refuse}},
+        {"record conflict", {none, conflict}},
+        {"renewal answers lost", {none, none, lose_answer, lose_answer, lose_answer}},
+        {"renewal requests lost", {none, none, lose_request, lose_request}},
+    };
+    for (const auto& it : rows) {
+        CAPTURE(it.name);
+        fixture f;
+        f.store.set_faults(it.faults);
+        f.run(1s, {&f.first});
+        if (std::string{it.name} == "record conflict") {
+            // The fake writes the record for another instance, without a lease; it goes away here.
+            f.store.erase(placement_lease_key);
+        }
+        f.run(60s, {&f.first, &f.second});
+        CHECK(f.first.duty.is_holder() != f.second.duty.is_holder());
+        const auto& holder = f.first.duty.is_holder() ? f.first : f.second;
+        CHECK(holder.duty.fencing() == f.store.revision(placement_lease_key));
+        CHECK(holder.duty.orders_sent() > 0);
+        CHECK(f.store.lease_count() == 1);
+    }
+}
+
+TEST_CASE("an instance that is no candidate any more gives the lease up at once")
+{
+    fixture f;
+    f.run(30s, {&f.first, &f.second});
+    f.first.duty.set_candidate(false);
+    const auto before = f.first.duty.orders_sent();
+    f.run(6s, {&f.first, &f.second});
+    CHECK_FALSE(f.first.duty.is_holder());
+    CHECK(f.second.duty.is_holder());
+    CHECK(f.first.duty.orders_sent() == before);
+}
+
+TEST_CASE("an engine that reports a higher fencing number makes the holder step down")
+{
+    fixture f;
+    f.run(11s, {&f.first});
+    f.first.sender.engines["strict"].highest = 1000;
+    f.run(2s, {&f.first});
+    CHECK_FALSE(f.first.duty.is_holder());
+    CHECK(f.first.sender.engines["strict"].accepted.empty());
+}
