Count replicas once per placement plan

Cause: the planner counted the replicas of a model again for each candidate, so a plan took quadratic time on the control thread.

Counts by model and by failure domain are now built once per plan and follow its changes.

--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -3,7 +3,9 @@
 #include "placement/internal/targets.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
+#include <utility>
 
 namespace almondline::placement {
 
@@ -23,6 +25,9 @@
     std::vector<placement_decision> run()
     {
         forget_lost_changes();
+        for (const auto& it : replicas_) {
+            count(it, 1);
+        }
         wanted_ = share_replicas(state_, policies_, static_cast<int>(count_usable()));
         for (const auto& it : replicas_) {
             advance_change(it);
@@ -35,6 +40,8 @@
     }
 
 private:
+    using replica_rank = std::tuple<int, int, int, std::string_view>;
+
     bool is_changing(const replica_status& it) const { return state_.changes.count(it.id) != 0; }
     bool is_free(const replica_status& it) const { return !it.is_leaving && !is_changing(it); }
 
@@ -53,15 +60,43 @@
     /// Replicas that serve the model or will.
     int assigned(const std::string& model) const
     {
-        int n = 0;
-        for (const auto& it : replicas_) {
-            const bool is_serving = is_free(it) && !it.is_draining && it.model == model;
-            n += is_serving ? 1 : 0;
+        const auto it = assigned_.find(model);
+        return it == assigned_.end() ? 0 : it->second;
+    }
+
+    int count_in_domain(const std::string& model, const std::string& domain) const
+    {
+        const auto it = in_domain_.find({model, domain});
+        return it == in_domain_.end() ? 0 : it->second;
+    }
+
+    /// Adds a replica to the counts, or takes it out with -1.
+    void count(const replica_status& replica, int by)
+    {
+        const auto change = state_.changes.find(replica.id);
+        if (change != state_.changes.end()) {
+            assigned_[change->second.model] += by;
+            in_domain_[{change->second.model, replica.failure_domain}] += by;
+            return;
         }
-        for (const auto& [id, change] : state_.changes) {
-            n += change.model == model ? 1 : 0;
+        if (!replica.is_leaving) {
+            assigned_[replica.model] += replica.is_draining ? 0 : by;
+            in_domain_[{replica.model, replica.failure_domain}] += by;
         }
-        return n;
+    }
+
+    void start_change(const replica_status& replica, const replica_change& change)
+    {
+        count(replica, -1);
+        state_.changes[replica.id] = change;
+        count(replica, 1);
+    }
+
+    void end_change(const replica_status& replica)
+    {
+        count(replica, -1);
+        state_.changes.erase(replica.id);
+        count(replica, 1);
     }
 
     double size_of(const std::string& model) const
@@ -80,7 +115,7 @@
 
     void serve(const replica_status& replica, const std::string& reason)
     {
-        state_.changes[replica.id] = {replica.model, change_phase::serving, now_};
+        start_change(replica, {replica.model, change_phase::serving, now_});
         decide(order_kind::serve, replica, replica.model, reason);
     }
 
@@ -153,7 +188,7 @@
             repeat_if_due(replica, change, order_kind::serve);
             return;
         }
-        state_.changes.erase(replica.id);
+        end_change(replica);
     }
 
     void repeat_if_due(const replica_status& replica, replica_change& change, order_kind kind)
@@ -229,10 +264,10 @@
             if (!load(*replica, change, reason)) {
                 return false;
             }
-            state_.changes[replica->id] = change;
+            start_change(*replica, change);
             return true;
         }
-        state_.changes[replica->id] = {model, change_phase::draining, now_};
+        start_change(*replica, {model, change_phase::draining, now_});
         decide(order_kind::drain, *replica, model, reason);
         return true;
     }
@@ -242,7 +277,7 @@
     const replica_status* choose_replica(const std::string& model) const
     {
         const replica_status* best = nullptr;
-        std::tuple<int, int, int, std::string> best_rank;
+        replica_rank best_rank;
         for (const auto& it : replicas_) {
             if (!is_free(it) || it.model == model) {
                 continue;
@@ -251,27 +286,16 @@
             if (!is_idle && assigned(it.model) <= wanted(it.model)) {
                 continue;
             }
-            std::tuple<int, int, int, std::string> rank{
-                is_idle ? 0 : 1, count_in_domain(model, it.failure_domain), it.in_flight, it.id};
+            const replica_rank rank{is_idle ? 0 : 1, count_in_domain(model, it.failure_domain),
+                                    it.in_flight, it.id};
             if (best == nullptr || rank < best_rank) {
                 best = &it;
-                best_rank = std::move(rank);
+                best_rank = rank;
             }
         }
         return best;
     }
 
-    int count_in_domain(const std::string& model, const std::string& domain) const
-    {
-        int n = 0;
-        for (const auto& it : replicas_) {
-            const auto change = state_.changes.find(it.id);
-            const auto& present = change == state_.changes.end() ? it.model : change->second.model;
-            n += it.failure_domain == domain && present == model ? 1 : 0;
-        }
-        return n;
-    }
-
     /// A replica that drains for no change would be lost capacity.
     void return_idle_replicas()
     {
@@ -289,6 +313,8 @@
     const plan_settings& settings_;
     steady_time now_;
     std::map<std::string, int> wanted_;
+    std::map<std::string, int> assigned_;
+    std::map<std::pair<std::string, std::string>, int> in_domain_; ///< by model and failure domain
     std::vector<placement_decision> decisions_;
 };
 
