Add almondline-bench: policies in virtual time, slopes of operations

Capacity is measured without a scheduler: each engine is kept at its max_in_flight. Ruled out: the saturated rate of a policy, because a poor policy would then make its own target easier.

--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds and runs the measurements: scripts/measure.sh [policy|slopes] [OPTION...] (default: both)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh release
+bench=build/release/bin/almondline-bench
+if (($#)); then
+    exec "$bench" "$@"
+fi
+"$bench" policy --out out
+"$bench" slopes
--- /dev/null
+++ b/src/bench/internal/measure.cpp
@@ -0,0 +1,142 @@
+#include "bench/internal/measure.h"
+
+#include <memory>
+
+namespace almondline::bench {
+
+namespace {
+
+constexpr double duration = 180;
+constexpr double disturbed_from = 60;
+
+const std::vector<double> usual_tiers{0.2, 0.5, 0.3};
+const std::vector<double> usual_accounts{0.4, 0.3, 0.15, 0.1, 0.05};
+
+/// Keeps every engine at its number of requests, whatever arrives.
+class saturating_policy final : public policy {
+public:
+    saturating_policy(simulation& sim, std::uint64_t seed)
+        : policy{sim}, source_{{1e6, usual_tiers, usual_accounts, 0, 1e9, seed}, 1}
+    {
+    }
+
+    void arrive(request&) override {}
+    void on_report(int, const routing::load_report&) override {}
+    void on_end(request& what) override { feed(what.replica); }
+
+    void on_tick() override
+    {
+        if (requests_.empty()) {
+            for (int i = 0; i < static_cast<int>(sim_.engines().size()); ++i) {
+                for (int n = 0; n < sim_.engines()[i]->description().max_in_flight; ++n) {
+                    feed(i);
+                }
+            }
+        }
+    }
+
+private:
+    void feed(int replica)
+    {
+        request& what = requests_.emplace_back();
+        source_.next(what);
+        what.arrived = sim_.now();
+        what.deadline = sim_.now() + 1e6;
+        sim_.dispatch(what, replica);
+    }
+
+    request_source source_;
+    std::deque<request> requests_;
+};
+
+stream_spec base_load(double rate, std::uint64_t seed)
+{
+    return {rate, usual_tiers, usual_accounts, 0, duration, seed};
+}
+
+stream_spec flood(double rate, std::size_t tier, std::uint64_t seed)
+{
+    std::vector<double> tiers(tier_count, 0);
+    tiers[tier] = 1;
+    return {rate, tiers, usual_accounts, disturbed_from, duration, seed};
+}
+
+} // namespace
+
+const run_results* deployment_measurements::find(const std::string& scenario,
+                                                 const std::string& policy) const
+{
+    for (const measurement& each : runs) {
+        if (each.scenario == scenario && each.policy == policy) {
+            return &each.results;
+        }
+    }
+    return nullptr;
+}
+
+double measure_capacity(const deployment& where, std::uint64_t seed, double& cost)
+{
+    scenario what;
+    what.name = "capacity";
+    simulation sim{where, what, [&](simulation& each) {
+                       return std::make_unique<saturating_policy>(each, seed);
+                   }};
+    const run_results results = sim.run();
+    double finished = 0;
+    cost = 0;
+    for (std::size_t i = 0; i < tier_count; ++i) {
+        finished += results.finished[i] / results.window();
+        cost += results.finished_cost[i] / results.window();
+    }
+    return finished;
+}
+
+std::vector<scenario> make_scenarios(double capacity, std::uint64_t seed)
+{
+    const double flood_from = 80; // the flood has had 20 s to fill the queue
+    std::vector<scenario> all;
+    all.push_back({"steady-85", {base_load(0.85 * capacity, seed)}, duration});
+    all.push_back({"base-50", {base_load(0.5 * capacity, seed)}, duration, flood_from});
+    all.push_back({"flood-lowest",
+                   {base_load(0.5 * capacity, seed), flood(10 * capacity, 2, seed + 1)},
+                   duration,
+                   flood_from});
+    all.push_back({"flood-urgent",
+                   {base_load(0.5 * capacity, seed), flood(10 * capacity, 0, seed + 2)},
+                   duration,
+                   flood_from});
+    // The small accounts ask for a 21st of twice the capacity.
+    const double small = 2 * capacity / 21;
+    const stream_spec small_stream{small, {0, 1, 0}, {0, 0, 1, 1, 1}, 0, duration, seed + 3};
+    const stream_spec large_stream{20 * small, {0, 1, 0}, {1, 1, 0, 0, 0}, 0, duration, seed + 4};
+    all.push_back({"small-alone", {small_stream}, duration});
+    all.push_back({"small-beside-large", {small_stream, large_stream}, duration});
+    scenario slow{"slow-engine", {base_load(0.7 * capacity, seed)}, duration, 65};
+    slow.slow_engine = 2;
+    slow.slow_from = disturbed_from;
+    all.push_back(slow);
+    scenario late{"late-reports", {base_load(0.85 * capacity, seed)}, duration};
+    late.report_delay = 5;
+    all.push_back(late);
+    return all;
+}
+
+deployment_measurements measure(const deployment& where, std::uint64_t seed,
+                                const std::string& filter)
+{
+    deployment_measurements result;
+    result.where = where;
+    result.capacity = measure_capacity(where, seed, result.capacity_cost);
+    for (const scenario& what : make_scenarios(result.capacity, seed)) {
+        for (const named_policy& each : all_policies()) {
+            if (each.name.find(filter) == std::string::npos) {
+                continue;
+            }
+            simulation sim{where, what, each.make};
+            result.runs.push_back({where.name, what.name, each.name, sim.run()});
+        }
+    }
+    return result;
+}
+
+} // namespace almondline::bench
--- /dev/null
+++ b/src/bench/internal/measure.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "bench/internal/policies.h"
+#include "bench/internal/results.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace almondline::bench {
+
+/// Result of one policy in one scenario.
+struct measurement {
+    std::string deployment;
+    std::string scenario;
+    std::string policy;
+    run_results results;
+};
+
+struct deployment_measurements {
+    deployment where;
+    double capacity = 0;      ///< requests/s
+    double capacity_cost = 0; ///< token units/s
+    std::vector<measurement> runs;
+
+    const run_results* find(const std::string& scenario, const std::string& policy) const;
+};
+
+/// Requests/s that the engines finish if each has its max_in_flight requests at all times, without
+/// any scheduler. The cost in token units of these goes to cost.
+double measure_capacity(const deployment& where, std::uint64_t seed, double& cost);
+
+std::vector<scenario> make_scenarios(double capacity, std::uint64_t seed);
+
+/// Runs all policies whose name contains the filter in all scenarios.
+deployment_measurements measure(const deployment& where, std::uint64_t seed,
+                                const std::string& filter);
+
+} // namespace almondline::bench
--- /dev/null
+++ b/src/bench/internal/simple_policies.cpp
@@ -0,0 +1,161 @@
+#include "bench/internal/policies.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace almondline::bench {
+
+namespace {
+
+/// Entries dispatch at once; the engines' own waiting lists are the queues.
+class direct_policy : public policy {
+public:
+    explicit direct_policy(simulation& sim) : policy{sim}
+    {
+        for (auto& engine : sim.engines()) {
+            engine->counts_waiting = true;
+        }
+    }
+
+    void arrive(request& what) override
+    {
+        what.is_answered = true;
+        sim_.dispatch(what, next_replica());
+    }
+
+    void on_end(request&) override {}
+    void on_report(int, const routing::load_report&) override {}
+
+protected:
+    virtual int next_replica() = 0;
+};
+
+class round_robin_policy final : public direct_policy {
+public:
+    using direct_policy::direct_policy;
+
+private:
+    int next_replica() override { return next_++ % static_cast<int>(sim_.engines().size()); }
+
+    int next_ = 0;
+};
+
+class least_reported_policy final : public direct_policy {
+public:
+    explicit least_reported_policy(simulation& sim)
+        : direct_policy{sim}, load_(sim.engines().size(), 0)
+    {
+    }
+
+    void on_report(int replica, const routing::load_report& report) override
+    {
+        const auto index = static_cast<std::size_t>(replica);
+        load_[index] = static_cast<double>(report.running + report.waiting) /
+                       sim_.engines()[index]->description().max_in_flight;
+    }
+
+private:
+    int next_replica() override
+    {
+        const double least = *std::min_element(load_.begin(), load_.end());
+        std::vector<int> equal;
+        for (std::size_t i = 0; i < load_.size(); ++i) {
+            if (load_[i] <= least) {
+                equal.push_back(static_cast<int>(i));
+            }
+        }
+        return equal[sim_.random()() % equal.size()];
+    }
+
+    std::vector<double> load_;
+};
+
+/// One bounded queue in order of arrival; the newest request is shed.
+class first_come_policy final : public policy {
+public:
+    explicit first_come_policy(simulation& sim) : policy{sim}, used_(sim.engines().size(), 0) {}
+
+    void arrive(request& what) override
+    {
+        if (queue_.size() >= bench_max_waiting) {
+            sim_.refuse(what, outcome::shed);
+            return;
+        }
+        queue_.push_back(&what);
+        count(what, 1);
+        dispatch_all();
+    }
+
+    void on_end(request& what) override
+    {
+        used_[static_cast<std::size_t>(what.replica)] -= 1;
+        dispatch_all();
+    }
+
+    void on_report(int, const routing::load_report&) override {}
+
+private:
+    void dispatch_all()
+    {
+        while (!queue_.empty()) {
+            request& what = *queue_.front();
+            if (what.deadline < sim_.now()) {
+                queue_.pop_front();
+                count(what, -1);
+                sim_.refuse(what, outcome::late);
+                continue;
+            }
+            const int replica = freest();
+            if (replica < 0) {
+                return;
+            }
+            queue_.pop_front();
+            count(what, -1);
+            used_[static_cast<std::size_t>(replica)] += 1;
+            what.is_answered = true;
+            sim_.dispatch(what, replica);
+        }
+    }
+
+    int freest()
+    {
+        int best = -1;
+        double best_share = 1;
+        for (std::size_t i = 0; i < used_.size(); ++i) {
+            const double share =
+                static_cast<double>(used_[i]) / sim_.engines()[i]->description().max_in_flight;
+            if (share < best_share) {
+                best = static_cast<int>(i);
+                best_share = share;
+            }
+        }
+        return best;
+    }
+
+    void count(const request& what, int by)
+    {
+        sim_.results().waiting[static_cast<std::size_t>(what.tier)] += by;
+    }
+
+    std::vector<int> used_;
+    std::deque<request*> queue_;
+};
+
+} // namespace
+
+policy_maker make_round_robin_policy()
+{
+    return [](simulation& sim) { return std::make_unique<round_robin_policy>(sim); };
+}
+
+policy_maker make_least_reported_policy()
+{
+    return [](simulation& sim) { return std::make_unique<least_reported_policy>(sim); };
+}
+
+policy_maker make_first_come_policy()
+{
+    return [](simulation& sim) { return std::make_unique<first_come_policy>(sim); };
+}
+
+} // namespace almondline::bench
--- /dev/null
+++ b/src/bench/internal/slopes.cpp
@@ -0,0 +1,234 @@
+#include "bench/internal/slopes.h"
+
+#include "common/clock.h"
+#include "routing/routing.h"
+#include "scheduling/queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+#include <random>
+
+namespace almondline::bench {
+
+namespace {
+
+constexpr int repetitions = 5;
+constexpr int batch = 2000;
+constexpr double most_accounts = 840;
+constexpr double longest_queue = 100'000;
+
+enum class operation { enqueue, pick, finish, shed };
+
+scheduling::ask random_ask(std::mt19937_64& random, std::uint64_t number, int accounts)
+{
+    scheduling::ask made;
+    made.request_id = "request-" + std::to_string(number);
+    made.account = "account-" + std::to_string(random() % static_cast<std::uint64_t>(accounts));
+    made.kind = random() % 2 == 0 ? "draft" : "check";
+    made.tier = static_cast<int>(random() % 5);
+    made.cost = 1 + static_cast<double>(random() % 10'000);
+    return made;
+}
+
+double measure_queue(operation which, int accounts, int length)
+{
+    std::mt19937_64 random{11};
+    manual_clock clock;
+    scheduling::queue_config config;
+    config.tiers = {{"t0", 0}, {"t1", 0.1}, {"t2", 0.1}, {"t3", 0.05}, {"t4", 0.05}};
+    config.kinds["draft"] = {"draft", 2, 0.05};
+    const bool sheds = which == operation::shed;
+    config.max_waiting = static_cast<std::size_t>(length) + (sheds ? 0 : batch);
+    scheduling::queue_state queue = scheduling::make_queue(config);
+    std::uint64_t number = 0;
+    for (int i = 0; i < length; ++i) {
+        enqueue(queue, random_ask(random, number++, accounts), {1000, 0}, clock.now());
+    }
+    std::vector<scheduling::ask> made;
+    made.reserve(batch);
+    for (int i = 0; i < batch; ++i) {
+        made.push_back(random_ask(random, number++, accounts));
+    }
+    const double start = processor_ns();
+    for (scheduling::ask& each : made) {
+        enqueue(queue, std::move(each), {1000, 0}, clock.now());
+    }
+    const double enqueued = processor_ns();
+    std::vector<std::string> picked;
+    picked.reserve(batch);
+    for (int i = 0; i < batch; ++i) {
+        picked.push_back(pick(queue, {100'000, 90'000}, clock.now())->request_id);
+    }
+    const double all_picked = processor_ns();
+    for (const std::string& id : picked) {
+        finish(queue, id, 500, clock.now());
+    }
+    const double finished = processor_ns();
+    switch (which) {
+    case operation::enqueue:
+    case operation::shed:
+        return (enqueued - start) / batch;
+    case operation::pick:
+        return (all_picked - enqueued) / batch;
+    case operation::finish:
+        return (finished - all_picked) / batch;
+    }
+    return 0;
+}
+
+double measure_choose(int replicas)
+{
+    manual_clock clock;
+    routing::replica_table table;
+    for (int i = 0; i < replicas; ++i) {
+        routing::replica_spec spec;
+        spec.id = "backend-server-" + std::to_string(i);
+        spec.prefill_rate = 8000 * (1 + i % 4);
+        spec.kv_tokens = 1e6;
+        spec.max_in_flight = 64;
+        routing::update_replica(table, spec, clock.now());
+    }
+    // The worst case for the lookups: every replica holds the whole prefix.
+    routing::request_shape request;
+    request.prompt_tokens = 8000;
+    request.output_tokens = 200;
+    for (std::uint64_t i = 0; i < 64; ++i) {
+        request.prefix_blocks.push_back(i * 7919);
+    }
+    for (int i = 0; i < replicas; ++i) {
+        request.request_id = std::to_string(i);
+        routing::on_dispatch(table, table.replicas[static_cast<std::size_t>(i)].spec.id, request,
+                             clock.now());
+    }
+    clock.advance(std::chrono::seconds{2});
+    const double start = processor_ns();
+    std::size_t considered = 0;
+    for (int i = 0; i < batch; ++i) {
+        considered += routing::choose(table, request, clock.now())->candidates.size();
+    }
+    return considered > 0 ? (processor_ns() - start) / batch : 0;
+}
+
+void add_queue_slopes(std::vector<slope>& all)
+{
+    const std::pair<const char*, operation> operations[] = {{"enqueue", operation::enqueue},
+                                                            {"enqueue-shedding", operation::shed},
+                                                            {"pick", operation::pick},
+                                                            {"finish", operation::finish}};
+    for (const auto& [name, which] : operations) {
+        all.push_back({name,
+                       "accounts",
+                       {13, 52, 210, most_accounts},
+                       [which = which](double n) {
+                           return measure_queue(which, static_cast<int>(n),
+                                                static_cast<int>(longest_queue));
+                       },
+                       0,
+                       0});
+        all.push_back({name,
+                       "queue-length",
+                       {2'500, 7'500, 25'000, longest_queue},
+                       [which = which](double n) {
+                           return measure_queue(which, static_cast<int>(most_accounts),
+                                                static_cast<int>(n));
+                       },
+                       0,
+                       0});
+    }
+}
+
+double median_of(const slope& which, double size)
+{
+    std::vector<double> times;
+    times.reserve(repetitions);
+    for (int i = 0; i < repetitions; ++i) {
+        times.push_back(which.measure(size));
+    }
+    std::sort(times.begin(), times.end());
+    return times[times.size() / 2];
+}
+
+} // namespace
+
+line_fit fit_line(const std::vector<double>& x, const std::vector<double>& y)
+{
+    const auto n = static_cast<double>(x.size());
+    double sum_x = 0;
+    double sum_y = 0;
+    double sum_xx = 0;
+    double sum_xy = 0;
+    for (std::size_t i = 0; i < x.size(); ++i) {
+        sum_x += x[i];
+        sum_y += y[i];
+        sum_xx += x[i] * x[i];
+        sum_xy += x[i] * y[i];
+    }
+    line_fit fit;
+    const double spread = n * sum_xx - sum_x * sum_x;
+    fit.slope = spread > 0 ? (n * sum_xy - sum_x * sum_y) / spread : 0;
+    fit.intercept = (sum_y - fit.slope * sum_x) / n;
+    double squares = 0;
+    for (std::size_t i = 0; i < x.size(); ++i) {
+        const double distance = y[i] - fit.intercept - fit.slope * x[i];
+        squares += distance * distance;
+    }
+    fit.residual = std::sqrt(squares / n);
+    return fit;
+}
+
+std::vector<slope> all_slopes()
+{
+    std::vector<slope> all;
+    add_queue_slopes(all);
+    all.push_back({"choose",
+                   "replicas",
+                   {4, 8, 16, 32, 64, 128},
+                   [](double n) { return measure_choose(static_cast<int>(n)); },
+                   10'000,
+                   64});
+    return all;
+}
+
+double processor_ns()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) * 1e9 + static_cast<double>(time.tv_nsec);
+}
+
+bool run_slopes(const std::string& filter)
+{
+    bool is_within = true;
+    for (const slope& each : all_slopes()) {
+        if (each.name.find(filter) == std::string::npos) {
+            continue;
+        }
+        std::vector<double> logs;
+        std::vector<double> times;
+        std::printf("%s by %s:", each.name.c_str(), each.variable.c_str());
+        for (const double size : each.sizes) {
+            const double time = median_of(each, size);
+            logs.push_back(std::log2(size));
+            times.push_back(time);
+            std::printf("  %.0f: %.0f ns", size, time);
+            if (size == each.limit_size && time >= each.limit_ns) {
+                is_within = false;
+            }
+        }
+        const line_fit log_fit = fit_line(logs, times);
+        const line_fit linear = fit_line(each.sizes, times);
+        std::printf("\n  %.0f + %.1f * log2(n) ns, residual %.0f ns;  %.0f + %.5g * n ns, residual "
+                    "%.0f ns\n",
+                    log_fit.intercept, log_fit.slope, log_fit.residual, linear.intercept,
+                    linear.slope, linear.residual);
+        if (each.limit_ns > 0) {
+            std::printf("  %s: under %.0f ns at %.0f %s\n", is_within ? "met" : "missed",
+                        each.limit_ns, each.limit_size, each.variable.c_str());
+        }
+    }
+    return is_within;
+}
+
+} // namespace almondline::bench
--- /dev/null
+++ b/src/bench/internal/workload.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace almondline::bench {
+
+enum class outcome { open, finished, late, shed, deadline, account_limit, engine_refused, unknown };
+
+struct request {
+    std::uint64_t number = 0;
+    std::string id;
+    int entry = 0;
+    int account = 0;
+    int tier = 0;
+    std::string kind;
+    double prompt = 0;           ///< tokens
+    double output = 0;           ///< tokens
+    double estimated_output = 0; ///< what the scheduler is told
+    double arrived = 0;          ///< s
+    double deadline = 0;         ///< s
+    std::vector<std::uint64_t> blocks;
+    std::size_t shared_blocks = 0; ///< of a prefix that other requests have too
+
+    outcome end = outcome::open;
+    bool is_answered = false; ///< granted or refused
+    int replica = -1;
+    double dispatched = 0;
+    double first_token = 0;
+    double finished = 0;
+    double prefilled = 0; ///< prompt tokens computed for it, with repetitions
+    double repeated = 0;  ///< of these, tokens that some replica had computed before
+};
+
+/// Poisson arrivals of one origin. Each stream has its own generator, so that adding a flood does
+/// not change the other requests.
+struct stream_spec {
+    double rate = 0;                    ///< requests/s
+    std::vector<double> tier_shares;    ///< by tier
+    std::vector<double> account_shares; ///< by account
+    double from = 0;                    ///< s
+    double to = 0;                      ///< s
+    std::uint64_t seed = 1;
+};
+
+class request_source {
+public:
+    request_source(stream_spec spec, int entries);
+    /// Fills in the next request. Returns false at the end of the stream.
+    bool next(request& made);
+
+private:
+    double log_uniform(double low, double high);
+
+    stream_spec spec_;
+    int entries_;
+    double time_;
+    std::uint64_t count_ = 0;
+    std::mt19937_64 random_;
+};
+
+/// Cost in token units: one output token takes as much engine time as this many prompt tokens.
+constexpr double output_cost_factor = 8;
+
+inline double cost_of(double prompt, double output)
+{
+    return prompt + output_cost_factor * output;
+}
+
+} // namespace almondline::bench
