--- a/src/standins/engine_service.cpp
+++ b/src/standins/engine_service.cpp
@@ -180,9 +180,10 @@
     if (id.empty()) {
         id = random_id();
     }
-    note_dispatch(server.requests(), id, request.body, clock.wall());
     chat_request chat;
     const std::string message = read_chat(request.body, chat);
+    const auto digest = message.empty() ? content_digest(chat) : sha256_hex(request.body);
+    note_dispatch(server.requests(), id, digest, clock.wall());
     if (!message.empty()) {
         ++entry_of(server.requests(), id).refused;
         co_await exchange.reply(error_response(400, message));
--- a/src/standins/internal/chat.cpp
+++ b/src/standins/internal/chat.cpp
@@ -38,6 +38,19 @@
     return out;
 }
 
+void append_content(const json::value& message, std::string& prompt)
+{
+    prompt += string_or(message, "content");
+    const auto* content =
+        message.is_object() ? message.get_object().if_contains("content") : nullptr;
+    if (content == nullptr || !content->is_array()) {
+        return;
+    }
+    for (const auto& part : content->get_array()) {
+        prompt += string_or(part, "text");
+    }
+}
+
 std::string event_text(int event_id, const std::string& data)
 {
     return "id: " + std::to_string(event_id) + "\ndata: " + data + "\n\n";
@@ -54,7 +67,7 @@
     }
     chat_request request;
     for (const auto& it : messages->get_array()) {
-        request.prompt += string_or(it, "content");
+        append_content(it, request.prompt);
     }
     request.model = string_or(value, "model");
     request.max_tokens = static_cast<int>(integer_or(value, "max_tokens", request.max_tokens));
--- a/src/standins/internal/journal.cpp
+++ b/src/standins/internal/journal.cpp
@@ -1,7 +1,5 @@
 #include "standins/internal/journal.h"
 
-#include "common/hash.h"
-
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -25,12 +23,11 @@
     return overflow;
 }
 
-void note_dispatch(journal& log, const std::string& request_id, const std::string& body,
-                   system_time now)
+void note_dispatch(journal& log, const std::string& request_id, std::string digest, system_time now)
 {
     auto& it = entry_of(log, request_id);
     ++it.dispatched;
-    it.digest = sha256_hex(body);
+    it.digest = std::move(digest);
     const auto since =
         std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
     it.arrived_ms.push_back(since.count());
--- a/src/standins/internal/journal.h
+++ b/src/standins/internal/journal.h
@@ -17,7 +17,7 @@
     int refused = 0; ///< answered before processing
     int resumed = 0;
     int cancelled = 0;
-    std::string digest;                   ///< SHA-256 of the last body
+    std::string digest;                   ///< identifies the content of the last request
     std::vector<std::int64_t> arrived_ms; ///< wall-clock times of the dispatches, Unix epoch
 };
 
@@ -31,7 +31,7 @@
 
 /// Entry of a request id. Beyond the limit, an entry that is not part of the journal.
 journal_entry& entry_of(journal& log, const std::string& request_id);
-void note_dispatch(journal& log, const std::string& request_id, const std::string& body,
+void note_dispatch(journal& log, const std::string& request_id, std::string digest,
                    system_time now);
 std::string to_json(const journal& log);
 
--- a/src/standins/internal/prefix_cache.cpp
+++ b/src/standins/internal/prefix_cache.cpp
@@ -1,6 +1,6 @@
 #include "standins/internal/prefix_cache.h"
 
-#include "common/hash.h"
+#include "common/prefix.h"
 
 #include <array>
 #include <charconv>
@@ -9,13 +9,7 @@
 
 std::vector<std::uint64_t> hash_blocks(std::string_view text)
 {
-    std::vector<std::uint64_t> blocks;
-    std::uint64_t previous = 0;
-    for (std::size_t at = 0; at + block_chars <= text.size(); at += block_chars) {
-        previous = stable_hash(text.substr(at, block_chars), previous);
-        blocks.push_back(previous);
-    }
-    return blocks;
+    return prefix_block_hashes(text, text.size());
 }
 
 std::string block_text(std::uint64_t block)
--- a/src/standins/internal/prefix_cache.h
+++ b/src/standins/internal/prefix_cache.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "common/prefix.h"
+
 #include <cstdint>
 #include <list>
 #include <string>
@@ -9,12 +11,10 @@
 
 namespace almondline::standins {
 
-constexpr std::size_t block_chars = 64;
 constexpr std::size_t chars_per_token = 4;
-constexpr std::size_t block_tokens = block_chars / chars_per_token;
+constexpr std::size_t block_tokens = prefix_block_size / chars_per_token;
 
-/// Chained hashes of the whole blocks of a text: hash k is stable_hash(block k, hash k-1), the
-/// first one with seed 0.
+/// Chained hashes of all whole blocks of a text, without the limit that the scheduler sets itself.
 std::vector<std::uint64_t> hash_blocks(std::string_view text);
 
 /// Block as 16 lower-case hexadecimal digits, as in cache events and KV paths.
--- a/src/standins/plain_service.cpp
+++ b/src/standins/plain_service.cpp
@@ -40,7 +40,7 @@
         id = random_id();
     }
     const std::string path{target_path(request.target)};
-    note_dispatch(server.requests(), id, request.body, clock.wall());
+    note_dispatch(server.requests(), id, sha256_hex(request.body), clock.wall());
     if (take_fault(server.faults(), fault_kind::refuse_admission, request.method, path,
                    clock.now())) {
         ++entry_of(server.requests(), id).refused;
--- a/src/standins/tests/engine_model_test.cpp
+++ b/src/standins/tests/engine_model_test.cpp
@@ -111,8 +111,8 @@
 
 TEST_CASE("a block's hash depends on all blocks before it, and a partial block has none")
 {
-    const std::string a(block_chars, 'a');
-    const std::string b(block_chars, 'b');
+    const std::string a(prefix_block_size, 'a');
+    const std::string b(prefix_block_size, 'b');
     const auto ab = hash_blocks(a + b);
     const auto bb = hash_blocks(b + b);
     CHECK(ab.size() == 2);
@@ -124,7 +124,7 @@
 TEST_CASE("the prefix cache saves prefill and evicts the least recently used block")
 {
     auto engine = make_engine();
-    const std::string shared(3 * block_chars, 's');
+    const std::string shared(3 * prefix_block_size, 's');
     add_sequence(engine, make_sequence("a", 48, 1, shared));
     advance(engine, 1);
     add_sequence(engine, make_sequence("b", 48, 1, shared));
