--- a/src/standins/engine_main.cpp
+++ b/src/standins/engine_main.cpp
@@ -54,6 +54,8 @@
         ->check(CLI::PositiveNumber)
         ->capture_default_str();
     app.add_flag("--ignore-fencing", ignores_fencing, "take orders with an old fencing number");
+    app.add_option("--journal", options.journal_path,
+                   "file to which a line is appended for each dispatch and run");
     CLI11_PARSE(app, argc, argv);
 
     if (!parse_endpoint(listen, options.listen)) {
--- a/src/standins/engine_service.cpp
+++ b/src/standins/engine_service.cpp
@@ -70,6 +70,7 @@
     events.lag = options.cache_event_lag;
     events.max_events = max_cache_events;
     events.gap_every = options.cache_event_gap_every;
+    server.open_journal(options.journal_path);
     last_tick = clock.now();
     run_tick();
 }
@@ -94,7 +95,7 @@
     append_changes(events, result.cache_changes, clock.now());
     for (const auto& it : result.progressed) {
         if (it.has_started) {
-            ++entry_of(server.requests(), it.id).ran;
+            note_run(server.requests(), it.id);
         }
         const auto found = streams.find(it.id);
         if (found == streams.end()) {
--- a/src/standins/engine_service.h
+++ b/src/standins/engine_service.h
@@ -25,6 +25,7 @@
     std::chrono::milliseconds tick{2};     ///< step of the batch
     std::chrono::milliseconds heartbeat{500};
     std::chrono::milliseconds stream_retention{60'000}; ///< of ended streams, for resumes
+    std::string journal_path;                           ///< file for journal lines, empty: none
 };
 
 /// Stand-in of a model engine. The io_context must run on one thread.
--- a/src/standins/internal/journal.cpp
+++ b/src/standins/internal/journal.cpp
@@ -31,6 +31,18 @@
     const auto since =
         std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
     it.arrived_ms.push_back(since.count());
+    if (log.file.is_open()) {
+        log.file << "dispatch " << request_id << ' ' << it.digest << ' ' << since.count()
+                 << std::endl;
+    }
+}
+
+void note_run(journal& log, const std::string& request_id)
+{
+    ++entry_of(log, request_id).ran;
+    if (log.file.is_open()) {
+        log.file << "run " << request_id << std::endl;
+    }
 }
 
 std::string to_json(const journal& log)
--- a/src/standins/internal/journal.h
+++ b/src/standins/internal/journal.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 
 #include <cstdint>
+#include <fstream>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,8 @@
 struct journal {
     std::unordered_map<std::string, journal_entry> entries;
     std::uint64_t dropped = 0;
+    std::ofstream
+        file; ///< if open: a line for each dispatch and run, for processes that are killed
 };
 
 constexpr std::size_t max_journal_entries = 200'000;
@@ -33,6 +36,8 @@
 journal_entry& entry_of(journal& log, const std::string& request_id);
 void note_dispatch(journal& log, const std::string& request_id, std::string digest,
                    system_time now);
+/// Counts the start of processing.
+void note_run(journal& log, const std::string& request_id);
 std::string to_json(const journal& log);
 
 } // namespace almondline::standins
--- a/src/standins/internal/standin_server.cpp
+++ b/src/standins/internal/standin_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/system/system_error.hpp>
+#include <stdexcept>
 
 namespace almondline::standins {
 
@@ -72,6 +73,17 @@
     }
 }
 
+void standin_server::open_journal(const std::string& path)
+{
+    if (path.empty()) {
+        return;
+    }
+    journal_.file.open(path, std::ios::app);
+    if (!journal_.file) {
+        throw std::runtime_error{"the journal file " + path + " can't be opened"};
+    }
+}
+
 void standin_server::close_listener(std::chrono::milliseconds lasting)
 {
     if (server_) {
--- a/src/standins/internal/standin_server.h
+++ b/src/standins/internal/standin_server.h
@@ -20,6 +20,9 @@
 
     std::uint16_t port() const { return port_; }
     void stop();
+    /// Appends journal lines to a file from now on; an empty path means none. Throws
+    /// std::runtime_error if it can't be opened.
+    void open_journal(const std::string& path);
     journal& requests() { return journal_; }
     fault_board& faults() { return board_; }
 
--- a/src/standins/plain_main.cpp
+++ b/src/standins/plain_main.cpp
@@ -17,6 +17,8 @@
     app.add_option("--work-ms", work_ms, "time that each call takes")
         ->check(CLI::NonNegativeNumber)
         ->capture_default_str();
+    app.add_option("--journal", options.journal_path,
+                   "file to which a line is appended for each dispatch and run");
     CLI11_PARSE(app, argc, argv);
 
     if (!parse_endpoint(listen, options.listen)) {
--- a/src/standins/plain_service.cpp
+++ b/src/standins/plain_service.cpp
@@ -29,6 +29,7 @@
       server{context, options.listen, time,
              [this](http_exchange& exchange) -> asio::awaitable<void> { return handle(exchange); }}
 {
+    server.open_journal(options.journal_path);
 }
 
 asio::awaitable<void> plain_service::state::handle(http_exchange& exchange)
@@ -50,7 +51,8 @@
         co_await exchange.reply(std::move(refused));
         co_return;
     }
-    const int ran = ++entry_of(server.requests(), id).ran;
+    note_run(server.requests(), id);
+    const int ran = entry_of(server.requests(), id).ran;
     asio::steady_timer timer{io, options.work};
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     ++entry_of(server.requests(), id).completed;
--- a/src/standins/plain_service.h
+++ b/src/standins/plain_service.h
@@ -6,12 +6,14 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <memory>
+#include <string>
 
 namespace almondline::standins {
 
 struct plain_options {
     endpoint_text listen{"127.0.0.1", 0};
     std::chrono::milliseconds work{5}; ///< time that each call takes
+    std::string journal_path;          ///< file for journal lines, empty: none
 };
 
 /// Stand-in of a plain service. Answers any call with the method, the path, the digest of the body
--- /dev/null
+++ b/tests/faults/checks.py
@@ -0,0 +1,172 @@
+"""Checks of one run against the invariants of docs/design.md.
+
+Each check returns the violations that it found, as texts. A check must never report a violation
+that has another explanation, so the ones that depend on times leave a margin.
+"""
+
+from collections import defaultdict
+
+# Until 3 s after a source says that a backend server is leaving it may receive new work.
+LEAVING_LIMIT_S = 3.0
+MANIFEST_LIMIT_S = 5.0
+# An ask travels to the granter before it waits there.
+ASK_MARGIN_S = 0.1
+# The driver polls the versions in force with this distance at most.
+POLL_MARGIN_S = 0.5
+# Codes of refusals that drop a request to make room.
+SHED_CODES = {"shed", "queue-full", "overload", "overloaded"}
+
+
+def _total_by(lines, key, value):
+    totals = defaultdict(int)
+    for it in lines:
+        totals[key(it)] += value(it)
+    return totals
+
+
+def dispatched_twice(seen):
+    """Counts by content, so that a second request id for the same call does not hide a second
+    dispatch."""
+    totals = _total_by(seen.journal, lambda it: it.digest, lambda it: it.dispatched)
+    return [f"content {digest[:12]} was dispatched {n} times"
+            for digest, n in totals.items() if n > 1]
+
+
+def ran_twice(seen):
+    totals = _total_by(seen.journal, lambda it: it.digest, lambda it: it.ran)
+    return [f"content {digest[:12]} ran {n} times" for digest, n in totals.items() if n > 1]
+
+
+def false_refusals(seen):
+    ran = _total_by(seen.journal, lambda it: it.digest, lambda it: it.ran)
+    return [f"call {it.number}: not-run ({it.code}), but it ran"
+            for it in seen.calls if it.verdict == "not-run" and ran[it.digest] > 0]
+
+
+def lost_answers(seen):
+    """A call that ended with neither an answer nor an error, or claims a run that no journal
+    shows."""
+    ran = _total_by(seen.journal, lambda it: it.digest, lambda it: it.ran)
+    found = [f"call {it.number}: no answer and no error until the caller gave up"
+             for it in seen.calls if it.ended == 0]
+    found += [f"call {it.number}: answered, but in no journal"
+              for it in seen.calls if it.is_answered and ran[it.digest] == 0]
+    return found
+
+
+def mixed_answers(seen):
+    """Any part of an answer that is not the start of the caller's own one."""
+    return [f"call {it.number}: the answer is not its own"
+            for it in seen.calls
+            if it.status == 200 and not it.expected.startswith(it.answer)]
+
+
+def cut_answers(seen):
+    """An answer that is shorter than it should be, although nothing reports an error."""
+    found = []
+    for it in seen.calls:
+        is_whole = it.answer == it.expected and it.has_end_mark
+        is_reported = bool(it.error) or it.has_error or not it.is_complete
+        if it.status == 200 and not is_whole and not is_reported:
+            found.append(f"call {it.number}: cut without an error")
+    return found
+
+
+def shedding_inversions(seen):
+    """A shed request, while one of a lower tier surely waited during the whole of its stay.
+
+    That one was sent before it and dispatched after it had been answered."""
+    arrived = {}
+    for line in seen.journal:
+        if line.arrived:
+            arrived[line.digest] = max(arrived.get(line.digest, 0), max(line.arrived))
+    found = []
+    for shed in seen.calls:
+        if shed.code not in SHED_CODES or shed.ended == 0:
+            continue
+        for low in seen.calls:
+            is_lower = low.service == shed.service and low.tier > shed.tier
+            waited = (low.sent + ASK_MARGIN_S < shed.sent
+                      and arrived.get(low.digest, 0) > shed.ended + ASK_MARGIN_S)
+            if is_lower and waited:
+                found.append(f"call {shed.number} of tier {shed.tier} was shed while call "
+                             f"{low.number} of tier {low.tier} waited")
+                break
+    return found
+
+
+def manifest_reversions(seen):
+    highest = {}
+    found = []
+    for it in sorted(seen.versions, key=lambda it: it.at):
+        key = (it.entry, it.incarnation)
+        if it.version < highest.get(key, 0):
+            found.append(f"{it.entry} went from version {highest[key]} to {it.version}")
+        highest[key] = max(highest.get(key, 0), it.version)
+    return found
+
+
+def late_manifests(seen):
+    """An entry that still answers with an older version 5 s after the publication."""
+    found = []
+    for publication in seen.publications:
+        due = publication.at + MANIFEST_LIMIT_S + POLL_MARGIN_S
+        found += [f"{it.entry} had version {it.version} {it.at - publication.at:.1f} s after "
+                  f"version {publication.version} was published"
+                  for it in seen.versions if it.at > due and it.version < publication.version]
+    return found
+
+
+def work_after_leaving(seen):
+    found = []
+    for leaving in seen.leaving:
+        due = leaving.since + LEAVING_LIMIT_S
+        for line in seen.journal:
+            late = [t for t in line.arrived if t > due]
+            if line.backend == leaving.backend and late:
+                found.append(f"{line.backend} got new work {max(late) - leaving.since:.1f} s after "
+                             "it was leaving")
+    return found
+
+
+def interrupted_by_stop(seen):
+    """A call that was in progress at the stopping entry when the stop began, or was accepted
+    after that, and got neither its answer nor a refusal."""
+    found = []
+    for stop in seen.stops:
+        for it in seen.calls:
+            was_there = it.entry == stop.entry and it.is_connected and it.sent < stop.at
+            is_over = it.ended != 0 and it.ended < stop.at
+            is_interrupted = it.status == 0 or (it.status == 200 and not it.is_answered)
+            if was_there and not is_over and is_interrupted:
+                found.append(f"call {it.number} was interrupted by the stop of {stop.entry}")
+    return found
+
+
+def held_refusals(seen):
+    """A refusal without Retry-After. Refusals that say what is wrong with the request need none."""
+    return [f"call {it.number}: refused with {it.status} {it.code} without Retry-After"
+            for it in seen.calls
+            if it.verdict == "not-run" and it.status in (429, 503) and not it.retry_after]
+
+
+CHECKS = {
+    "dispatched twice": dispatched_twice,
+    "ran twice": ran_twice,
+    "false refusals": false_refusals,
+    "answers lost": lost_answers,
+    "answers mixed": mixed_answers,
+    "answers cut": cut_answers,
+    "shedding inversions": shedding_inversions,
+    "manifest reversions": manifest_reversions,
+    "manifests late": late_manifests,
+    "work after leaving": work_after_leaving,
+    "interrupted by stop": interrupted_by_stop,
+    "refusals without Retry-After": held_refusals,
+}
+
+
+def run_checks(seen):
+    """Violations by the name of the check, without the checks that found none."""
+    found = {name: check(seen) for name, check in CHECKS.items()}
+    return {name: violations for name, violations in found.items() if violations}
--- /dev/null
+++ b/tests/faults/load.py
@@ -0,0 +1,147 @@
+"""Bounded load of callers with known answers."""
+
+import json
+import random
+import threading
+import time
+
+from faults.records import CallRecord
+from support import http_client
+from support.chat import (chat_body, content_digest, expected_answer, read_plain, read_stream,
+                          sha256)
+from support.manifests import ACCOUNTS, MODEL, TIERS, account_key
+
+CALL_TIMEOUT_S = 25.0
+# A caller whose connection was refused asks for the addresses again after this time.
+PAUSE_AFTER_FAILURE_S = 0.05
+ADDRESS_LIFETIME_S = 1.0
+
+
+class AddressBook:
+    """Addresses of the entry instances as callers learn them, cached for a while."""
+
+    def __init__(self, seeds):
+        self.names = {address: name for name, address in seeds.items()}
+        self.addresses = list(self.names)
+        self.lock = threading.Lock()
+        self.fetched = 0.0
+
+    def add(self, name, address):
+        with self.lock:
+            self.names[address] = name
+
+    def pick(self, rng):
+        with self.lock:
+            if time.monotonic() - self.fetched > ADDRESS_LIFETIME_S:
+                self.fetched = time.monotonic()
+                self._fetch(rng)
+            address = rng.choice(self.addresses)
+            return address, self.names.get(address, address)
+
+    def _fetch(self, rng):
+        for address in rng.sample(list(self.names), len(self.names)):
+            answer = http_client.call(address, "GET", "/v1/addresses", timeout=0.5).json()
+            listed = [it["address"] for it in answer.get("addresses", [])]
+            if listed:
+                self.addresses = listed
+                return
+
+
+def _prompt(rng, number, shared):
+    # Callers share the beginnings of prompts, which the engines can cache.
+    return f"{shared * 2}question {number} {rng.random()}"
+
+
+def make_call(rng, number, tier, form):
+    """Returns the record of a call and its HTTP request (method, target, body)."""
+    if form == "service":
+        body = json.dumps({"seat": number, "nonce": rng.random()}).encode()
+        method, target, is_safe = rng.choice(
+            [("POST", "/seats/book", False), ("POST", "/search", True)])
+        expected = json.dumps({"method": method, "path": target, "body_sha256": sha256(body),
+                               "ran": 1}, separators=(",", ":"))
+        record = CallRecord(number, "booking", tier, form, "", sha256(body), expected,
+                            was_idempotent=is_safe)
+        return record, (method, "/services/booking" + target, body)
+    prompt = _prompt(rng, number, rng.choice(["north ", "south "]) * 40)
+    tokens = rng.randint(4, 40)
+    record = CallRecord(number, "assistant", tier, form, "", content_digest(MODEL, prompt, tokens),
+                        expected_answer(MODEL, prompt, tokens))
+    body = json.dumps(chat_body(MODEL, prompt, tokens, form == "stream")).encode()
+    return record, ("POST", "/v1/chat/completions", body)
+
+
+def read_response(record, response):
+    """Fills the caller's view of a response into its record."""
+    record.status = response.status
+    record.is_complete = response.is_complete
+    record.error = response.error
+    record.is_connected = response.is_connected
+    record.request_id = response.header("x-request-id")
+    record.retry_after = response.header("retry-after")
+    record.verdict = response.header("x-verdict")
+    if response.status != 200:
+        record.code = response.json().get("error", {}).get("code", "")
+    elif record.form == "stream":
+        record.answer, record.has_end_mark, record.has_error = read_stream(response.body)
+    elif record.form == "plain":
+        record.answer = read_plain(response.body) if response.is_complete else ""
+    else:
+        record.answer = response.body.decode(errors="replace")
+
+
+def send_call(record, request, address, account):
+    method, target, body = request
+    headers = {"Authorization": f"Bearer {account_key(account)}", "X-Tier": TIERS[record.tier],
+               "Content-Type": "application/json"}
+    record.sent = time.time()
+    response = http_client.call(address, method, target, headers, body, CALL_TIMEOUT_S)
+    read_response(record, response)
+    is_timeout = response.status == 0 and time.time() - record.sent >= CALL_TIMEOUT_S
+    record.ended = 0.0 if is_timeout else time.time()
+
+
+class Load:
+    """Threads that send one call after the other until they are stopped or have sent their share."""
+
+    def __init__(self, book, seed):
+        self.book = book
+        self.seed = seed
+        self.records = []
+        self.lock = threading.Lock()
+        self.next_number = 0
+        self.threads = []
+        self.is_stopped = threading.Event()
+
+    def _take_number(self):
+        with self.lock:
+            self.next_number += 1
+            return self.next_number
+
+    def _run(self, rng, tiers, forms, most, pause):
+        for _ in range(most):
+            if self.is_stopped.is_set():
+                return
+            number = self._take_number()
+            record, request = make_call(rng, number, rng.choice(tiers), rng.choice(forms))
+            address, record.entry = self.book.pick(rng)
+            with self.lock:
+                self.records.append(record)
+            send_call(record, request, address, rng.choice(ACCOUNTS))
+            time.sleep(pause if record.status == 200 else PAUSE_AFTER_FAILURE_S)
+
+    def start(self, callers, tiers=(0, 1, 2), forms=("plain", "stream", "service"), most=400,
+              pause=0.0):
+        for _ in range(callers):
+            rng = random.Random(f"{self.seed}-{len(self.threads)}")
+            thread = threading.Thread(target=self._run, args=(rng, tiers, forms, most, pause),
+                                      daemon=True)
+            self.threads.append(thread)
+            thread.start()
+
+    def stop(self):
+        """Lets calls in progress end. Returns the records."""
+        self.is_stopped.set()
+        for thread in self.threads:
+            thread.join(CALL_TIMEOUT_S + 5)
+        return self.records
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -76,7 +76,8 @@
         engine = self._start(name, [
             self._program("standin-engine"), "--listen", listen, "--model", manifests.MODEL,
             "--prefill-rate", str(prefill), "--decode-rate", str(decode),
-            "--kv-tokens", str(kv_tokens), "--max-running", str(batch), *options])
+            "--kv-tokens", str(kv_tokens), "--max-running", str(batch),
+            "--journal", str(self.journal_path(name)), *options])
         engine.wait_for_address()
         self.engines[name] = engine
         self._register({"id": name, "role": "backend", "service": "assistant",
@@ -85,7 +86,8 @@
         return engine
 
     def start_plain(self, name, domain, options=()):
-        plain = self._start(name, [self._program("standin-plain"), *options])
+        plain = self._start(name, [
+            self._program("standin-plain"), "--journal", str(self.journal_path(name)), *options])
         plain.wait_for_address()
         self.plains[name] = plain
         self._register({"id": name, "role": "backend", "service": "booking",
@@ -132,17 +134,24 @@
         for i in range(entries):
             self.start_entry(f"entry-{i}", DOMAINS[i % 3])
 
-    def run_ctl(self, *arguments, entry=None):
+    def ctl_command(self, *arguments, entry=None):
         command = [self._program("almondctl"), "--store", self.platform.address,
                    "--operator-key-file", str(self.key_file), "--operator-name", "tests"]
         if entry:
             command += ["--entry", entry]
-        return subprocess.run([*command, *arguments], capture_output=True, text=True, timeout=30,
-                              check=False)
+        return [*command, *arguments]
+
+    def run_ctl(self, *arguments, entry=None):
+        return subprocess.run(self.ctl_command(*arguments, entry=entry), capture_output=True,
+                              text=True, timeout=30, check=False)
+
+    @staticmethod
+    def manifest_text(manifest):
+        return json.dumps(manifest, indent=2)
 
     def publish(self, manifest, based_on):
         path = self.directory / f"manifest-{based_on + 1}.json"
-        path.write_text(json.dumps(manifest, indent=2))
+        path.write_text(self.manifest_text(manifest))
         return self.run_ctl("manifest", "publish", str(path), "--based-on", str(based_on))
 
     def status(self, name):
@@ -156,8 +165,12 @@
             entry.wait_until(
                 lambda e=entry: http_client.call(e.address, "GET", "/readyz").status == 200, seconds)
 
-    def journal(self, process):
-        return http_client.call(process.address, "GET", "/standin/journal").json()
+    def journal_path(self, name):
+        return self.directory / f"{name}.journal"
+
+    def read_journal_lines(self, name):
+        path = self.journal_path(name)
+        return path.read_text().splitlines() if path.exists() else []
 
     def order_fault(self, process, **order):
         return http_client.call(process.address, "POST", "/standin/faults", body=order)
