--- a/tests/faults/checks.py
+++ b/tests/faults/checks.py
@@ -122,7 +122,7 @@
     for leaving in seen.leaving:
         due = leaving.since + LEAVING_LIMIT_S
         for line in seen.journal:
-            late = [t for t in line.arrived if t > due]
+            late = [t for t in line.arrived if due < t < leaving.until]
             if line.backend == leaving.backend and late:
                 found.append(f"{line.backend} got new work {max(late) - leaving.since:.1f} s after "
                              "it was leaving")
--- a/tests/faults/checks_test.py
+++ b/tests/faults/checks_test.py
@@ -98,6 +98,9 @@
         s.journal.append(line(5, arrived=101.0)))),
     ("work within 3 s of leaving", lambda s: s.journal.append(
         line(6, backend="engine-1", arrived=92.5))),
+    ("work after it stayed", lambda s: (
+        setattr(s.leaving[0], "until", 95.0),
+        s.journal.append(line(6, backend="engine-1", arrived=96)))),
     ("lower version after a restart", lambda s: s.versions.append(
         VersionSeen("entry-0", 1, 104.0, 1))),
     ("refused connection at a stopped entry", lambda s: s.calls.append(
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -54,6 +54,7 @@
 class Leaving:
     backend: str
     since: float  # when a source said so for the first time
+    until: float = float("inf")  # when it stopped to say so
 
 
 @dataclass
