--- a/src/standins/internal/journal.h
+++ b/src/standins/internal/journal.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 
 #include <cstdint>
+#include <fstream>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -17,7 +18,7 @@
     int refused = 0; ///< answered before processing
     int resumed = 0;
     int cancelled = 0;
-    std::string digest;                   ///< SHA-256 of the last body
+    std::string digest;                   ///< identifies the content of the last request
     std::vector<std::int64_t> arrived_ms; ///< wall-clock times of the dispatches, Unix epoch
 };
 
@@ -25,14 +26,18 @@
 struct journal {
     std::unordered_map<std::string, journal_entry> entries;
     std::uint64_t dropped = 0;
+    std::ofstream
+        file; ///< if open: a line for each dispatch and run, for processes that are killed
 };
 
 constexpr std::size_t max_journal_entries = 200'000;
 
 /// Entry of a request id. Beyond the limit, an entry that is not part of the journal.
 journal_entry& entry_of(journal& log, const std::string& request_id);
-void note_dispatch(journal& log, const std::string& request_id, const std::string& body,
+void note_dispatch(journal& log, const std::string& request_id, std::string digest,
                    system_time now);
+/// Counts the start of processing.
+void note_run(journal& log, const std::string& request_id);
 std::string to_json(const journal& log);
 
 } // namespace almondline::standins
