Keep decision lines of the traffic threads for explanations

Cause: explain has to show the dispatch and the answer beside the grant. Ruled out: a second log in the entry module (two places to search). Conclusion: one bounded log per instance.

--- a/src/granting/decision_log.cpp
+++ b/src/granting/decision_log.cpp
@@ -17,14 +17,18 @@
                        std::initializer_list<log_field> fields)
 {
     log_event(component, level, event, fields);
+    keep(request_id, format_log_line(component, level, event, fields));
+}
+
+void decision_log::keep(const std::string& request_id, std::string text)
+{
     const auto at =
         std::chrono::duration_cast<std::chrono::milliseconds>(clock_.wall().time_since_epoch());
     if (lines_.size() >= max_lines_) {
         drop_oldest();
     }
     by_request_[request_id].push_back(first_ + lines_.size());
-    lines_.push_back({request_id, "at_ms=" + std::to_string(at.count()) + " " +
-                                      format_log_line(component, level, event, fields)});
+    lines_.push_back({request_id, "at_ms=" + std::to_string(at.count()) + " " + std::move(text)});
 }
 
 void decision_log::drop_oldest()
--- a/src/granting/decision_log.h
+++ b/src/granting/decision_log.h
@@ -24,6 +24,9 @@
     void add(const std::string& request_id, log_level level, std::string_view event,
              std::initializer_list<log_field> fields);
 
+    /// Keeps a line that was logged elsewhere.
+    void keep(const std::string& request_id, std::string text);
+
     /// Lines that are kept on a request, oldest first.
     std::vector<std::string> explain(const std::string& request_id) const;
 
