Tighten tests of granting and of the frame limits

The test of the large ask never reached the limit, because update_replica() keeps the KV capacity of a known replica whose rates are unchanged.

--- a/src/granting/tests/granter_test.cpp
+++ b/src/granting/tests/granter_test.cpp
@@ -107,7 +107,7 @@
 TEST_CASE("an ask that does not fit is passed by smaller ones, but not forever")
 {
     cluster c{2};
-    auto& granter = c.start_granter("e1", 1, 4);
+    auto& granter = c.start_granter("e1", 0, 4);
     routing::replica_spec spec;
     spec.id = "b1";
     spec.max_in_flight = 4;
@@ -118,12 +118,14 @@
     large.request_id = "large";
     large.account = "a2";
     large.tier = 1;
-    large.prompt_tokens = 940;
+    large.prompt_tokens = 945; // fits only if nothing else runs
     large.deadline = c.clock.now() + 60s;
     c.ask("e2", "s0", 1, 1s);
     milliseconds granted_at{0};
-    c.members["e2"]->own_asker.request_credit(
-        pool_name, large, [&](const credit_result&) { granted_at = c.elapsed(); });
+    c.members["e2"]->own_asker.request_credit(pool_name, large, [&](const credit_result& result) {
+        REQUIRE(result.granted);
+        granted_at = c.elapsed();
+    });
     const auto asked_at = c.elapsed();
     for (int n = 1; n <= 50; ++n) {
         c.ask("e2", "s" + std::to_string(n), 1, 1s);
@@ -131,7 +133,7 @@
     }
     CHECK(c.records["s1"].code == "granted");
     CHECK(granted_at > asked_at);
-    CHECK(granted_at - asked_at < 2s);
+    CHECK(granted_at - asked_at < 3s);
 }
 
 TEST_CASE("decisions can be explained, and the memory for them is bounded")
--- a/src/granting/tests/granting_fixture.h
+++ b/src/granting/tests/granting_fixture.h
@@ -7,6 +7,7 @@
 #include "peer/envelope_kind.h"
 #include "peer/wire.h"
 #include "routing/routing.h"
+#include "scheduling/queue.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/granting/tests/message_loss_test.cpp
+++ b/src/granting/tests/message_loss_test.cpp
@@ -56,6 +56,7 @@
         }
         CHECK(c.peak <= it.max_running);
         CHECK(granter.credit_count() == 0);
+        CHECK(scheduling::status(granter.queue()).in_progress == 0);
         CHECK((it.kind == envelope_kind::none || faults == 2));
         if (it.counted != nullptr) {
             CHECK(granter.counters().*it.counted > 0);
@@ -78,6 +79,7 @@
         c.run_for(100ms);
         CHECK(granter.credit_count() == 0);
         CHECK(granter.counters().expired_credits == 1);
+        CHECK(scheduling::status(granter.queue()).in_progress == 0);
         CHECK_FALSE(c.members["e2"]->own_asker.confirm("r1"));
     }
     SUBCASE("the credits of a holder that died are released")
@@ -124,7 +126,10 @@
     c.ask("e3", "r2");
     CHECK(c.members["e2"]->own_asker.cancel("r1"));
     CHECK_FALSE(c.members["e2"]->own_asker.cancel("r1"));
-    c.run_for(300ms);
+    c.run_for(30ms);
+    // The cancel alone frees the slot, before the grant arrives and is released.
+    CHECK(granter.counters().grants == 2);
+    c.run_for(270ms);
     CHECK(c.records["r1"].answers == 0);
     CHECK(c.records["r2"].code == "granted");
     CHECK(c.members["e2"]->own_asker.counters().surplus_grants == 1);
--- a/src/granting/tests/takeover_test.cpp
+++ b/src/granting/tests/takeover_test.cpp
@@ -83,6 +83,28 @@
     CHECK(own.counters().resent_asks == 1);
 }
 
+TEST_CASE("a refusal of a former owner does not end an ask that its successor has")
+{
+    cluster c{3};
+    c.start_granter("e3", 1, 1);
+    c.run_for(400ms);
+    // Nobody grants at e1.
+    c.ask("e2", "r1");
+    c.run_for(50ms);
+    c.owner = "e3";
+    c.members["e2"]->own_asker.check_owners();
+    wire::refusal_message refusal;
+    refusal.request_id = "r1";
+    refusal.pool = pool_name;
+    refusal.code = "shed";
+    wire::envelope message;
+    message.__set_refusal(refusal);
+    c.members["e2"]->own_asker.handle("e1", message);
+    CHECK(c.records["r1"].answers == 0);
+    c.run_for(50ms);
+    CHECK(c.records["r1"].code == "granted");
+}
+
 TEST_CASE("two granters at the same time admit at most the slots of both, for a bounded time")
 {
     cluster c{5};
@@ -164,6 +186,8 @@
         // The one that lost ownership frees the rest when its holders have been silent for 15 s.
         CHECK(first.credit_count() == 0);
         CHECK(second.credit_count() == 0);
+        CHECK(scheduling::status(first.queue()).in_progress == 0);
+        CHECK(scheduling::status(second.queue()).in_progress == 0);
         CHECK(first.queue().waiting.empty());
         CHECK(second.queue().waiting.empty());
         CHECK(c.count("granted") > 100);
