Add idempotency: minted keys, claims in key ranges, recorded outcomes

Cause: a non-idempotent request must run at most once although callers repeat it at other instances and the store loses answers. Ruled out: deciding by 'the earlier request here was not dispatched' alone (after its entry was dropped and begun anew in an outage, the key would have been dispatched twice; the claim id now ties an entry to its record); not_run for an expired key (its use may be forgotten); wall-clock expiry of minted keys (a step back revives a used key). Before: no module. After, idempotency_tests: 10 faults of the store, two owners with and without a pause, owner death before and after the write, takeover, full record: at most one dispatch each; 200 claims of a range in 200 ms take at most 11 writes.

--- /dev/null
+++ b/src/idempotency/claimer.cpp
@@ -0,0 +1,79 @@
+#include "idempotency/claimer.h"
+
+#include "common/hash.h"
+
+#include <utility>
+
+namespace almondline::idempotency {
+
+std::string owner_of(int range, std::vector<std::string> live_members)
+{
+    const auto order = rendezvous_order(range_key(range), std::move(live_members));
+    return order.empty() ? std::string{} : order.front();
+}
+
+claimer::claimer(claimer_config config, peer_callbacks callbacks, range_owner& local)
+    : config_{std::move(config)}, callbacks_{std::move(callbacks)}, local_{local}
+{
+}
+
+void claimer::claim(const std::string& claim_id, const std::string& account,
+                    const std::string& key_hash, const std::string& request_id, handler done,
+                    steady_time now)
+{
+    claim_request request{claim_id,  account, key_hash, config_.instance_id, config_.incarnation,
+                          request_id};
+    pending_[claim_id] = {request, std::move(done), now + config_.resend_interval,
+                          now + config_.give_up_after};
+    send(request, now);
+}
+
+void claimer::send(const claim_request& request, steady_time now)
+{
+    const auto owner = owner_of(range_of(request.key_hash), callbacks_.live_members());
+    if (owner.empty() || owner == config_.instance_id) {
+        local_.submit(
+            request, [this](const claim_answer& answer) { on_answer(answer); }, now);
+        return;
+    }
+    callbacks_.send(owner, request);
+}
+
+void claimer::on_answer(const claim_answer& answer)
+{
+    const auto it = pending_.find(answer.claim_id);
+    if (it == pending_.end()) {
+        return; // given up, or answered by an earlier owner
+    }
+    const auto done = std::move(it->second.done);
+    pending_.erase(it);
+    done(answer);
+}
+
+void claimer::tick(steady_time now)
+{
+    std::vector<claim_request> again;
+    std::vector<claim_answer> given_up;
+    for (auto& [id, it] : pending_) {
+        if (now >= it.deadline) {
+            given_up.push_back({id,
+                                claim_status::unknown,
+                                config_.instance_id,
+                                config_.incarnation,
+                                "no owner of the key range answered",
+                                {}});
+        }
+        else if (now >= it.next_send) {
+            it.next_send = now + config_.resend_interval;
+            again.push_back(it.request);
+        }
+    }
+    for (const auto& it : given_up) {
+        on_answer(it);
+    }
+    for (const auto& it : again) {
+        send(it, now);
+    }
+}
+
+} // namespace almondline::idempotency
--- /dev/null
+++ b/src/idempotency/range_owner.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "common/clock.h"
+#include "idempotency/internal/claim_record.h"
+#include "store/key_value_store.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace almondline::idempotency {
+
+struct owner_config {
+    /// Claims that arrive meanwhile share a write. A larger record is written less often.
+    std::chrono::milliseconds write_interval{20};
+    std::size_t bytes_per_second = 4'000'000; ///< of one record, stretches the interval
+    std::chrono::milliseconds claim_timeout{1000};
+    std::chrono::milliseconds reload_interval{50};
+    std::chrono::hours retention{24};
+    std::size_t max_record_bytes = 900'000; ///< the store holds values of 1 MB
+    std::size_t max_waiting = 1000;         ///< claims of a range
+};
+
+struct owner_counters {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t claims = 0; ///< recorded
+    std::uint64_t conflicts = 0;
+    std::uint64_t lost_answers = 0;
+};
+
+/// Records claims in the key-range records. Any instance may do it for any range: the
+/// compare-and-swap alone keeps a key from being claimed twice. That one owner at a time is chosen
+/// only saves conflicts.
+class range_owner {
+public:
+    using answer_handler = std::function<void(const claim_answer&)>;
+
+    /// Store and clock must outlive it.
+    range_owner(key_value_store& store, const clock_source& clock, const owner_config& config);
+
+    /// The handler runs once, later or from within the call.
+    void submit(claim_request request, answer_handler handler, steady_time now);
+    /// To be called every 10 ms or more often while claims wait.
+    void tick(steady_time now);
+    const owner_counters& counters() const { return counters_; }
+
+private:
+    struct pending_claim {
+        claim_request request;
+        answer_handler answer;
+        steady_time deadline;
+        /// A write with this claim and the expected revision lost its answer.
+        bool is_unsettled = false;
+        std::uint64_t expected_revision = 0;
+    };
+    struct range_state {
+        claim_record record;
+        std::uint64_t revision = 0;
+        bool is_loaded = false;
+        bool is_busy = false; ///< a call is pending
+        steady_time next_call;
+        std::vector<pending_claim> waiting;
+        std::vector<pending_claim> writing;
+    };
+
+    void advance(int index, steady_time now);
+    void expire(range_state& range, steady_time now);
+    void load(int index);
+    void on_loaded(int index, const get_result& result);
+    void write(int index, steady_time now);
+    void on_written(int index, const put_result& result);
+    /// Moves the claims that need a write to range.writing and answers those that are decided.
+    void judge(range_state& range);
+    static void refuse(const std::vector<pending_claim>& claims, const std::string& message);
+    static void refuse_one(const pending_claim& claim, const std::string& message);
+    static void answer(const pending_claim& claim, claim_status status, const std::string& message);
+
+    key_value_store& store_;
+    const clock_source& clock_;
+    owner_config config_;
+    std::map<int, range_state> ranges_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0); ///< ends the handlers' use of this
+    owner_counters counters_;
+};
+
+} // namespace almondline::idempotency
--- /dev/null
+++ b/src/idempotency/wire_format.cpp
@@ -0,0 +1,139 @@
+#include "idempotency/wire_format.h"
+
+#include "peer/wire.h"
+
+#include <string>
+
+namespace almondline::idempotency {
+
+namespace {
+
+// Verdicts and states that this version doesn't know are read as the cautious ones.
+verdict parse_verdict(const std::string& text)
+{
+    if (text == to_string(verdict::not_run)) {
+        return verdict::not_run;
+    }
+    return text == to_string(verdict::ran) ? verdict::ran : verdict::may_have_run;
+}
+
+wire::claim_status::type to_wire(claim_status status)
+{
+    switch (status) {
+    case claim_status::claimed:
+        return wire::claim_status::claimed;
+    case claim_status::duplicate:
+        return wire::claim_status::duplicate;
+    case claim_status::refused:
+        return wire::claim_status::refused;
+    case claim_status::unknown:
+        return wire::claim_status::unknown;
+    }
+    return wire::claim_status::unknown;
+}
+
+claim_status from_wire(wire::claim_status::type status)
+{
+    switch (status) {
+    case wire::claim_status::claimed:
+        return claim_status::claimed;
+    case wire::claim_status::duplicate:
+        return claim_status::duplicate;
+    case wire::claim_status::refused:
+        return claim_status::refused;
+    case wire::claim_status::unknown:
+        return claim_status::unknown;
+    }
+    return claim_status::unknown;
+}
+
+void set(const claim_request& it, wire::envelope& envelope)
+{
+    wire::claim_message claim;
+    claim.__set_claim_id(it.claim_id);
+    claim.__set_account(it.account);
+    claim.__set_key_hash(it.key_hash);
+    claim.__set_holder(it.holder);
+    claim.__set_holder_incarnation(it.holder_incarnation);
+    claim.__set_request_id(it.request_id);
+    envelope.__set_claim(claim);
+}
+
+void set(const claim_answer& it, wire::envelope& envelope)
+{
+    wire::claim_reply reply;
+    reply.__set_claim_id(it.claim_id);
+    reply.__set_status(to_wire(it.status));
+    reply.__set_holder(it.holder);
+    reply.__set_holder_incarnation(it.holder_incarnation);
+    reply.__set_message(it.message);
+    reply.__set_recorded_claim_id(it.recorded_claim_id);
+    envelope.__set_claimed(reply);
+}
+
+void set(const outcome_query& it, wire::envelope& envelope)
+{
+    wire::outcome_query query;
+    query.__set_query_id(it.query_id);
+    query.__set_account(it.account);
+    query.__set_key_hash(it.key_hash);
+    query.__set_body_hash(it.body_hash);
+    query.__set_claim_id(it.claim_id);
+    envelope.__set_query(query);
+}
+
+void set(const outcome_reply& it, wire::envelope& envelope)
+{
+    wire::outcome_reply reply;
+    reply.__set_query_id(it.query_id);
+    reply.__set_is_known(it.is_known);
+    reply.__set_is_finished(it.is_finished);
+    reply.__set_is_other_body(it.is_other_body);
+    if (it.is_finished) {
+        reply.__set_http_status(it.result.http_status);
+        reply.__set_content_type(it.result.content_type);
+        if (it.result.is_body_kept) {
+            reply.__set_body(it.result.body);
+        }
+        reply.__set_verdict(std::string{to_string(it.result.run)});
+    }
+    envelope.__set_outcome(reply);
+}
+
+} // namespace
+
+void to_wire(const message& content, wire::envelope& envelope)
+{
+    std::visit([&](const auto& it) { set(it, envelope); }, content);
+}
+
+bool from_wire(const wire::envelope& envelope, message& content)
+{
+    if (envelope.__isset.claim) {
+        const auto& it = envelope.claim;
+        content = claim_request{it.claim_id,           it.account,   it.key_hash, it.holder,
+                                it.holder_incarnation, it.request_id};
+        return true;
+    }
+    if (envelope.__isset.claimed) {
+        const auto& it = envelope.claimed;
+        content = claim_answer{it.claim_id,           from_wire(it.status), it.holder,
+                               it.holder_incarnation, it.message,           it.recorded_claim_id};
+        return true;
+    }
+    if (envelope.__isset.query) {
+        const auto& it = envelope.query;
+        content = outcome_query{it.query_id, it.account, it.key_hash, it.body_hash, it.claim_id};
+        return true;
+    }
+    if (envelope.__isset.outcome) {
+        const auto& it = envelope.outcome;
+        const outcome result{it.http_status, it.content_type, it.body, parse_verdict(it.verdict),
+                             it.__isset.body};
+        content = outcome_reply{it.query_id, it.is_known, it.is_finished, it.is_other_body, result};
+        return true;
+    }
+    return false;
+}
+
+} // namespace almondline::idempotency
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -152,6 +152,8 @@
   4: optional i64 holder_incarnation,
   5: optional string request_id,
   6: optional string message,
+  // Set for a duplicate: id of the claim that is recorded.
+  7: optional string recorded_claim_id,
 }
 
 // Asks the holder of a claimed key for its recorded outcome.
@@ -159,6 +161,10 @@
   1: required string query_id,
   2: required string account,
   3: required string key_hash,
+  // Of the request that came with the key this time.
+  4: optional string body_hash,
+  // Id of the recorded claim. The holder may have begun anew with another one.
+  5: optional string claim_id,
 }
 
 struct outcome_reply {
@@ -169,6 +175,8 @@
   5: optional string content_type,
   6: optional string body,
   7: optional string verdict,
+  // The key was used with another request.
+  8: optional bool is_other_body,
 }
 
 struct explain_query {
