Learn speeds that requests in flight together do not correct repeatedly

Three faults in routing: 1. Slots were cut by learned over expected speed; prompts of other requests take part of each engine step, so every busy replica looked slow. The learned decode speed of the engine class is the reference now, and only below 0.6. 2. The prefill rate was corrected by a ratio to the current rate; 30 requests in flight expected the same rate and each corrected it again. The ratio now applies to the rate at the request's own dispatch, and short prompts, which take one engine step at any speed, count less. 3. Decode time weighed as much as the first token, so the fast replicas collected prompts until the wait outgrew a long output. decode_weight 0.05.

--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -25,7 +25,7 @@
     if (is_eased(table, of, now)) {
         return candidate_state::eased;
     }
-    if (used_slots(table, of, now) >= slot_limit(of)) {
+    if (used_slots(table, of, now) >= slot_limit(table, of)) {
         return candidate_state::full;
     }
     if (!fits_kv(table, of, request)) {
@@ -55,7 +55,7 @@
 struct expectation {
     double hit_tokens = 0;
     double first_token = 0; ///< s
-    double score = 0;       ///< s
+    double score = 0;       ///< s, weighted
 };
 
 expectation expect(const replica_table& table, const replica& of, const request_shape& request,
@@ -69,7 +69,8 @@
     const double others = others_in_flight(table, of, now) / of.spec.max_in_flight;
     result.first_token = prefill_wait(of, now) + prefill;
     result.score =
-        result.first_token + decode_time(table, of, request.output_tokens, share + others);
+        result.first_token +
+        table.config.decode_weight * decode_time(table, of, request.output_tokens, share + others);
     return result;
 }
 
@@ -79,9 +80,9 @@
         return "probe of a replica that failed, was silent or was slow";
     }
     char text[160];
-    const int n = std::snprintf(
-        text, sizeof text, "least expected time %.3f s of %zu usable, first token %.3f s, hit %.0f",
-        chosen.score, usable, chosen.first_token, chosen.hit_tokens);
+    const int n = std::snprintf(text, sizeof text,
+                                "lowest score %.3f of %zu usable, first token %.3f s, hit %.0f",
+                                chosen.score, usable, chosen.first_token, chosen.hit_tokens);
     return {text, static_cast<std::size_t>(std::clamp(n, 0, static_cast<int>(sizeof text) - 1))};
 }
 
@@ -145,7 +146,7 @@
             counts.free += probes;
             continue;
         }
-        const int limit = slot_limit(each);
+        const int limit = slot_limit(table, each);
         counts.total += limit;
         counts.free += std::max(0, limit - used_slots(table, each, now));
     }
--- a/src/routing/internal/load.cpp
+++ b/src/routing/internal/load.cpp
@@ -9,8 +9,8 @@
 
 constexpr std::size_t max_history = 128;
 constexpr std::chrono::milliseconds history_step{100};
-// Below this share of the expected speed an idle replica is tried again after a while: its learned
-// speed would otherwise never recover.
+// Below this share of the usual speed of its class a replica gets fewer requests. If it is idle, it
+// is tried again after a while: its learned speed would otherwise never recover.
 constexpr double slow_below = 0.6;
 constexpr std::chrono::seconds slow_probe_interval{5};
 
@@ -26,15 +26,18 @@
     return of.reported_others * std::exp2(-age.count() / half_life.count());
 }
 
-double relative_speed(const replica& of)
+double relative_speed(const replica_table& table, const replica& of)
 {
-    return std::min(
-        {1.0, of.prefill_rate / of.spec.prefill_rate, of.decode_rate / of.spec.decode_rate});
+    return std::min(1.0, of.decode_rate / table.classes[of.class_index].decode_rate);
 }
 
-int slot_limit(const replica& of)
+int slot_limit(const replica_table& table, const replica& of)
 {
-    return std::max(1, static_cast<int>(std::ceil(of.spec.max_in_flight * relative_speed(of))));
+    const double speed = relative_speed(table, of);
+    if (speed >= slow_below) {
+        return of.spec.max_in_flight;
+    }
+    return std::max(1, static_cast<int>(std::ceil(of.spec.max_in_flight * speed)));
 }
 
 int used_slots(const replica_table& table, const replica& of, steady_time now)
@@ -59,7 +62,7 @@
     if (is_eased(table, of, now)) {
         return of.probes_in_flight == 0 && now >= of.next_probe;
     }
-    return of.in_flight == 0 && relative_speed(of) < slow_below &&
+    return of.in_flight == 0 && relative_speed(table, of) < slow_below &&
            now - of.last_sample >= slow_probe_interval;
 }
 
--- a/src/routing/internal/load.h
+++ b/src/routing/internal/load.h
@@ -10,11 +10,12 @@
 /// Requests of others in the last load report, less the older the report is.
 double others_in_flight(const replica_table& table, const replica& of, steady_time now);
 
-/// Learned speed over the speed expected of its class, at most 1.
-double relative_speed(const replica& of);
+/// Learned decode speed over the one learned for its class, at most 1. Not over the expected one:
+/// prompts of other requests take part of each step, which slows all replicas alike.
+double relative_speed(const replica_table& table, const replica& of);
 
 /// Requests that may be in flight. Fewer while it is slow, at least one.
-int slot_limit(const replica& of);
+int slot_limit(const replica_table& table, const replica& of);
 
 int used_slots(const replica_table& table, const replica& of, steady_time now);
 
--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -16,6 +16,11 @@
 // Shorter times consist mostly of network and scheduling delays and say little of the speed.
 constexpr double min_learned_prefill = 0.02;
 constexpr double min_learned_output = 8;
+// Expected s to the first token from which on a measurement counts fully. A short prompt takes at
+// least one step of the engine, which says nothing of the speed of long ones.
+constexpr double full_weight_prefill = 0.5;
+// Slower than that of a replica, so that one slow replica does not pass for the class.
+constexpr double class_learning_rate = 0.03;
 // Outputs from this length on count fully.
 constexpr double full_weight_output = 64;
 
@@ -49,18 +54,39 @@
 void learn_prefill(const replica_table& table, replica& of, const dispatched_work& work,
                    double first_token, steady_time now)
 {
-    const double expected = work.prefill_wait + work.uncached_tokens / of.prefill_rate;
+    const double expected = work.prefill_wait + work.uncached_tokens / work.prefill_rate;
     if (first_token < min_learned_prefill || expected < min_learned_prefill) {
         return;
     }
-    // By ratio, because the wait ahead of the request scales with the same speed.
+    // By ratio, because the wait ahead of the request scales with the same speed; to the rate at
+    // its dispatch, because all requests in flight expected that one and would correct it
+    // repeatedly.
     const double ratio = std::clamp(expected / first_token, 0.1, 4.0);
-    const double rate = of.prefill_rate * std::pow(ratio, table.config.learning_rate);
+    const double weight =
+        table.config.learning_rate * std::min(1.0, expected / full_weight_prefill);
+    const double rate =
+        of.prefill_rate * std::pow(work.prefill_rate * ratio / of.prefill_rate, weight);
     of.prefill_rate = within(rate, of.spec.prefill_rate);
     of.last_sample = now;
 }
 
-void learn_decode(const replica_table& table, replica& of, const dispatched_work& work,
+std::size_t find_class(replica_table& table, const std::string& name, double decode_rate)
+{
+    const auto it = std::find_if(table.classes.begin(), table.classes.end(),
+                                 [&](const class_speed& each) { return each.name == name; });
+    if (it != table.classes.end()) {
+        return static_cast<std::size_t>(it - table.classes.begin());
+    }
+    table.classes.push_back({name, decode_rate});
+    return table.classes.size() - 1;
+}
+
+void learn_class(class_speed& of, double alone)
+{
+    of.decode_rate += class_learning_rate * (alone - of.decode_rate);
+}
+
+void learn_decode(replica_table& table, replica& of, const dispatched_work& work,
                   double output_tokens, double time, steady_time now)
 {
     if (output_tokens < min_learned_output || time <= 0) {
@@ -73,6 +99,7 @@
     of.decode_rate =
         within(of.decode_rate + weight * (alone - of.decode_rate), of.spec.decode_rate);
     of.last_sample = now;
+    learn_class(table.classes[of.class_index], alone);
 }
 
 /// Takes a request out of the work in flight. Returns false if it was not there.
@@ -128,6 +155,7 @@
         known->is_leaving = false;
     }
     known->spec = spec;
+    known->class_index = find_class(table, spec.engine_class, spec.decode_rate);
     known->spec.max_in_flight = std::max(1, spec.max_in_flight);
     known->spec.prefill_rate = std::max(1.0, spec.prefill_rate);
     known->spec.decode_rate = std::max(0.1, spec.decode_rate);
@@ -171,6 +199,7 @@
     work.output_tokens = request.output_tokens;
     work.uncached_tokens = std::max(0.0, request.prompt_tokens - hit);
     work.prefill_wait = prefill_wait(*of, now);
+    work.prefill_rate = of->prefill_rate;
     work.batch_share = static_cast<double>(of->in_flight + 1) / of->spec.max_in_flight;
     work.kv_tokens = request.prompt_tokens + request.output_tokens;
     work.is_probe = is_probe_due(table, *of, now);
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -111,6 +111,20 @@
     CHECK(f.dispatch() == "b");
 }
 
+TEST_CASE("requests in flight together do not each correct the same wrong expectation")
+{
+    fixture f{make_spec("a", 1, 64)};
+    for (int i = 0; i < 40; ++i) {
+        on_dispatch(f.table, "a", make_request("r" + std::to_string(i), 4000), f.clock.now());
+    }
+    for (int i = 0; i < 40; ++i) { // twice as slow as expected
+        f.clock.advance(800ms);
+        on_first_token(f.table, "a", "r" + std::to_string(i), f.clock.now());
+    }
+    CHECK(f.table.replicas[0].prefill_rate > 4500);
+    CHECK(f.table.replicas[0].prefill_rate < 6000);
+}
+
 TEST_CASE("leaving replicas are never chosen, whoever says that they leave")
 {
     fixture f{make_spec("a"), make_spec("b"), make_spec("c")};
@@ -243,10 +257,11 @@
 TEST_CASE("too much prefill ahead keeps a request in the queue")
 {
     fixture f{make_spec("a")};
+    f.table.config.max_prefill_wait = 500ms;
     CHECK(f.dispatch(9000) == "a");
     CHECK(f.chosen(make_request("x")).empty());
     f.clock.advance(500ms);
     CHECK(f.chosen(make_request("x")) == "a");
     const auto result = choose(f.table, make_request("x"), f.clock.now());
-    CHECK(result->reason.find("least expected time") == 0);
+    CHECK(result->reason.find("lowest score") == 0);
 }
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -32,6 +32,7 @@
     double output_tokens = 0;   ///< estimate
     double uncached_tokens = 0; ///< prompt tokens that it was expected to compute
     double prefill_wait = 0;    ///< s of prefill expected ahead of it
+    double prefill_rate = 0;    ///< of the replica as learned by then
     double batch_share = 0;     ///< in flight over max_in_flight at its dispatch
     double kv_tokens = 0;
     bool has_first_token = false;
@@ -58,7 +59,8 @@
 /// State of one replica.
 struct replica {
     replica_spec spec;
-    bool is_present = false; ///< false: slot of a removed replica, to be used again
+    std::size_t class_index = 0; ///< in replica_table::classes
+    bool is_present = false;     ///< false: slot of a removed replica, to be used again
     bool is_leaving = false; ///< by the list or its own report; holds until the process is replaced
     double prefill_rate = 0; ///< learned, tokens per second
     double decode_rate = 0;  ///< learned, tokens per second of a stream that runs alone
@@ -101,9 +103,10 @@
     /// Between probes of an eased replica; doubled by each failed one up to the maximum.
     std::chrono::milliseconds probe_interval{1000};
     std::chrono::milliseconds max_probe_interval{30'000};
-    /// A replica gets no further prompt while this much prefill is expected ahead of it. The ask
-    /// waits in the queue instead, where tiers and shares apply. Zero: no limit.
-    std::chrono::milliseconds max_prefill_wait{500};
+    /// A replica gets no further prompt while this much prefill is expected ahead of it; the ask
+    /// waits in the queue instead. Zero: no limit. Off by default: it keeps reserved slots empty,
+    /// so floors got 0.28 of their share in an urgent flood at 300 ms and 0.62 at 1 s.
+    std::chrono::milliseconds max_prefill_wait{0};
     /// Share of max_in_flight above the mean share of all replicas at which a prefix hit no longer
     /// counts.
     double affinity_slack = 0.25;
@@ -112,15 +115,25 @@
     double kv_headroom = 0.95; ///< share of the KV capacity that is filled
     /// Slowdown of each stream when max_in_flight streams run, over one that runs alone.
     double batch_slowdown = 1.0;
+    /// Weight of decode time in a score, against time to the first token. At equal weight the fast
+    /// replicas collect prompts until the wait for the first token outweighs a long output.
+    double decode_weight = 0.05;
     double learning_rate = 0.2;            ///< weight of one observation of speed
     std::size_t max_known_blocks = 20'000; ///< per replica
     std::size_t max_blocks_per_prompt = 256;
 };
 
+/// Speed learned from all replicas of an engine class.
+struct class_speed {
+    std::string name;
+    double decode_rate = 0; ///< tokens per second of a stream that runs alone
+};
+
 /// Replicas of one slice.
 struct replica_table {
     routing_config config;
     std::vector<replica> replicas;
+    std::vector<class_speed> classes;
     std::unordered_map<std::string, std::uint32_t> index;                       ///< by id
     std::unordered_map<std::uint64_t, std::vector<block_holder>> block_holders; ///< by block
     std::uint64_t next_use = 1;
--- a/src/routing/types/reports.h
+++ b/src/routing/types/reports.h
@@ -57,7 +57,7 @@
 struct candidate {
     std::string id;
     candidate_state state = candidate_state::usable;
-    double score = 0;      ///< expected s to the end of the request, lower is better; if usable
+    double score = 0;      ///< expected s, weighted, lower is better; if usable
     double hit_tokens = 0; ///< prompt tokens expected in its cache
 };
 
