Connect manifest distribution and idempotency keys to the entry instance

Cause: manifests were polled from the store by every instance, and keyed requests were refused. Ruled out: admitting keyed requests on the traffic threads (claims belong to the control thread).

--- a/src/entry/control_plane.h
+++ b/src/entry/control_plane.h
@@ -3,6 +3,7 @@
 #include "entry/caller_api.h"
 #include "entry/credit_source.h"
 #include "entry/entry_settings.h"
+#include "entry/key_guard.h"
 #include "entry/traffic_context.h"
 #include "metrics/registry.h"
 
@@ -14,9 +15,14 @@
 
 namespace almondline::entry {
 
+class control_state;
+
 /// The control thread's state of an entry instance: manifest, members, granters, asker. Functions
 /// are thread-safe unless they say otherwise.
-class control_plane final : public credit_source, public snapshot_source, public decision_recorder {
+class control_plane final : public credit_source,
+                            public snapshot_source,
+                            public decision_recorder,
+                            public key_guard {
 public:
     using deliver = std::function<void(std::string)>;
 
@@ -39,6 +45,12 @@
     std::shared_ptr<const manifest_snapshot> snapshot() const override;
     void record(const std::string& request_id, const std::string& line) override;
 
+    void admit(const idempotency::keyed_request& request, admission_handler handler) override;
+    void finish(const idempotency::keyed_request& request,
+                const idempotency::outcome& result) override;
+    std::string mint() const override;
+    std::chrono::milliseconds key_lifetime() const override;
+
     std::vector<advertised_address> addresses() const;
     /// Delivers JSON on the control thread.
     void status(deliver done);
@@ -48,8 +60,7 @@
     void update_metrics();
 
 private:
-    struct state;
-    std::shared_ptr<state> state_;
+    std::shared_ptr<control_state> state_;
 };
 
 } // namespace almondline::entry
--- /dev/null
+++ b/src/entry/internal/manifest_follower.cpp
@@ -0,0 +1,106 @@
+#include "entry/internal/manifest_follower.h"
+
+#include "common/hash.h"
+#include "distribution/wire_format.h"
+#include "manifest/fetch.h"
+#include "peer/wire.h"
+
+#include <optional>
+
+namespace almondline::entry {
+
+namespace {
+
+distribution::distribution_config make_config(const membership::member& self)
+{
+    distribution::distribution_config config;
+    config.instance_id = self.id;
+    config.failure_domain = self.failure_domain;
+    return config;
+}
+
+void read_copy(key_value_store& store, const get_result& pointer,
+               std::function<void(std::optional<distribution::manifest_copy>)> done)
+{
+    fetch_manifest_body(store, pointer, [done = std::move(done)](const fetch_result& result) {
+        if (result.status != fetch_status::found) {
+            done(std::nullopt);
+            return;
+        }
+        const auto& current = result.pointer.current;
+        done(distribution::manifest_copy{current.version, current.digest, result.text});
+    });
+}
+
+} // namespace
+
+manifest_follower::manifest_follower(membership::member_table& members, peer_sender& sender,
+                                     key_value_store& store, const clock_source& clock,
+                                     std::function<void()> on_change)
+    : members_{members}, on_change_{std::move(on_change)},
+      distributor_{make_config(members.self()), callbacks(sender, store), store, clock,
+                   stable_hash(members.self().id)}
+{
+}
+
+distribution::distribution_callbacks manifest_follower::callbacks(peer_sender& sender,
+                                                                  key_value_store& store)
+{
+    distribution::distribution_callbacks out;
+    out.send = [&sender](const std::string& to, const distribution::message& content) {
+        wire::envelope envelope;
+        distribution::to_wire(content, envelope);
+        sender.send(to, envelope);
+    };
+    out.live_members = [this] { return members_.live_members(); };
+    out.read_body = [&store](const get_result& pointer,
+                             std::function<void(std::optional<distribution::manifest_copy>)> done) {
+        read_copy(store, pointer, std::move(done));
+    };
+    out.apply = [this](const distribution::manifest_copy& copy, const std::string& source) {
+        return apply(copy, source);
+    };
+    return out;
+}
+
+bool manifest_follower::apply(const distribution::manifest_copy& copy, const std::string& source)
+{
+    if (!state_.apply(copy.version, copy.digest, copy.text, source).is_applied) {
+        return false;
+    }
+    members_.set_manifest_version(copy.version);
+    on_change_();
+    return true;
+}
+
+std::shared_ptr<const manifest> manifest_follower::usable() const
+{
+    return was_ready_ ? state_.snapshot() : nullptr;
+}
+
+void manifest_follower::tick(steady_time now)
+{
+    distributor_.tick(now);
+    if (!was_ready_ && distributor_.is_ready()) {
+        was_ready_ = true;
+        on_change_();
+    }
+}
+
+bool manifest_follower::handle(const std::string& from, const wire::envelope& message,
+                               steady_time now)
+{
+    distribution::message content;
+    if (!distribution::from_wire(message, content)) {
+        return false;
+    }
+    distributor_.receive(from, content, now);
+    return true;
+}
+
+void manifest_follower::on_peer(const membership::member& peer, steady_time now)
+{
+    distributor_.on_peer_version(peer.id, peer.manifest_version, now);
+}
+
+} // namespace almondline::entry
--- a/src/entry/internal/status_report.cpp
+++ b/src/entry/internal/status_report.cpp
@@ -87,6 +87,17 @@
             {"replicas", std::move(replicas)}};
 }
 
+json::object describe_store(const status_sources& sources)
+{
+    const auto& calls = sources.store_calls;
+    return {{"watching", sources.is_watcher},
+            {"reads", calls.gets + calls.watches},
+            {"writes", calls.puts + calls.lease_calls},
+            {"failed", calls.failed},
+            {"held_back", calls.held_back},
+            {"lost_answers", calls.lost_answers}};
+}
+
 } // namespace
 
 std::string make_status_report(const status_sources& sources)
@@ -108,7 +119,7 @@
         {"manifest", json::object{{"name", sources.manifest_name},
                                   {"version", sources.manifest_version},
                                   {"digest", sources.manifest_digest}}},
-        {"store", json::object{{"reachable", sources.is_store_reachable}}},
+        {"store", describe_store(sources)},
         {"requests", json::object{{"waiting", sources.asker.waiting_count()},
                                   {"dispatched", sources.asker.held_count()}}},
         {"members", std::move(members)},
--- a/src/entry/internal/status_report.h
+++ b/src/entry/internal/status_report.h
@@ -18,7 +18,7 @@
     std::string manifest_digest;
     std::string manifest_name;
     bool is_draining = false;
-    bool is_store_reachable = false;
+    bool is_watcher = false; ///< reads the store for its failure domain
 };
 
 /// JSON of GET /operator/status.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -2,8 +2,8 @@
 #include "entry/caller_api.h"
 #include "entry/control_plane.h"
 #include "entry/entry_settings.h"
+#include "entry/keyed_runner.h"
 #include "entry/operator_api.h"
-#include "entry/unkeyed_runner.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/executor_work_guard.hpp>
@@ -57,8 +57,9 @@
                    settings.failure_domain,
                    settings.instance_id,
                    is_draining_},
-          keyed_{context_}, callers_{context_, keyed_, [this] { return control_.addresses(); },
-                                     settings.address_lifetime},
+          keyed_{context_, control_, settings.caller_address},
+          callers_{context_, keyed_, [this] { return control_.addresses(); },
+                   settings.address_lifetime},
           operators_{settings.operator_key_hash, functions()},
           server_{traffic_io_, settings.listen, server_limits(),
                   [this](http_exchange& exchange) { return handle(exchange); }},
@@ -88,7 +89,7 @@
     asio::io_context traffic_io_;
     control_plane control_;
     traffic_context context_;
-    unkeyed_runner keyed_;
+    keyed_runner keyed_;
     caller_api callers_;
     operator_api operators_;
     http_server server_;
--- a/src/entry/refusals.cpp
+++ b/src/entry/refusals.cpp
@@ -40,9 +40,22 @@
 
 int status_of_refusal(const std::string& code)
 {
-    constexpr int too_many_requests = 429;
+    struct row {
+        std::string_view code;
+        int status;
+    };
+    constexpr row rows[] = {{"account-limit", 429},   {"too-many-keys", 429},
+                            {"bad-key", 400},         {"key-reused", 409},
+                            {"in-progress", 409},     {"other-instance", 421},
+                            {"key-holder-gone", 409}, {"key-expired", 409},
+                            {"outcome-unknown", 409}, {"outcome-lost", 409}};
     constexpr int unavailable = 503;
-    return code == "account-limit" ? too_many_requests : unavailable;
+    for (const auto& it : rows) {
+        if (it.code == code) {
+            return it.status;
+        }
+    }
+    return unavailable;
 }
 
 } // namespace almondline::entry
