Bound the candidates in grant messages and keep them at the holder

Cause: a grant named all candidates, 64 in today's pools, about 1 KB for each request; the holder did not keep them for explain. The log line of the granter still names all of them, the message the best 8. The holder keeps a line in memory, without writing it to the log. Also adds a test that the transport's own timer enforces timeouts.

--- a/src/granting/internal/asker_state.cpp
+++ b/src/granting/internal/asker_state.cpp
@@ -126,6 +126,15 @@
     auto& view = pools[what.pool];
     view.held.insert(what.request_id);
     held.emplace(what.request_id, held_credit{what, from, entry.what, false});
+    // The granter writes the log line; here it is kept for operators who ask the holder.
+    decisions.add(what.request_id, log_level::debug, "granted",
+                  {{"request", what.request_id},
+                   {"pool", what.pool},
+                   {"granter", from},
+                   {"credit", what.credit_id},
+                   {"backend", what.backend_id},
+                   {"reason", what.reason},
+                   {"candidates", join(grant.candidates)}});
     if (from != view.owner.instance_id) {
         // Granted by a former owner, while the present one still has the ask in its queue.
         sender.send(view.owner.instance_id, make_cancel_message(what.pool, what.request_id));
--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -14,15 +14,8 @@
 constexpr milliseconds holder_check_interval{1000};
 constexpr milliseconds no_backend_retry_after{1000};
 constexpr std::size_t credit_prefix_length = 12;
-
-std::string join(const std::vector<std::string>& parts)
-{
-    std::string text;
-    for (const auto& it : parts) {
-        text += text.empty() ? it : "," + it;
-    }
-    return text;
-}
+// The log line names all candidates; 64 of them would add 1 KB to each grant message.
+constexpr std::size_t max_sent_candidates = 8;
 
 refusal make_no_backend(const std::string& text)
 {
@@ -141,7 +134,7 @@
                     {"backend", chosen.id},
                     {"reason", chosen.reason},
                     {"candidates", join(candidates)}});
-    send_grant(entry, candidates, now);
+    send_grant(entry, describe_best(chosen.candidates, max_sent_candidates), now);
     credits.add(std::move(entry));
 }
 
--- a/src/granting/internal/messages.cpp
+++ b/src/granting/internal/messages.cpp
@@ -31,6 +31,12 @@
     return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(then - now));
 }
 
+bool has_score(const routing::candidate& it)
+{
+    return it.state == routing::candidate_state::usable ||
+           it.state == routing::candidate_state::probe;
+}
+
 wire::release_outcome::type to_wire(release_outcome outcome)
 {
     switch (outcome) {
@@ -193,8 +199,7 @@
 
 std::string describe(const routing::candidate& it)
 {
-    if (it.state != routing::candidate_state::usable &&
-        it.state != routing::candidate_state::probe) {
+    if (!has_score(it)) {
         return it.id + "=" + routing::to_string(it.state);
     }
     char buf[32];
@@ -202,4 +207,29 @@
     return it.id + "=" + buf;
 }
 
+std::vector<std::string> describe_best(std::vector<routing::candidate> candidates,
+                                       std::size_t max_count)
+{
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+        return has_score(a) != has_score(b) ? has_score(a) : a.score < b.score;
+    });
+    std::vector<std::string> texts;
+    for (const auto& it : candidates) {
+        if (texts.size() >= max_count) {
+            break;
+        }
+        texts.push_back(describe(it));
+    }
+    return texts;
+}
+
+std::string join(const std::vector<std::string>& parts)
+{
+    std::string text;
+    for (const auto& it : parts) {
+        text += text.empty() ? it : "," + it;
+    }
+    return text;
+}
+
 } // namespace almondline::granting
--- a/src/granting/internal/messages.h
+++ b/src/granting/internal/messages.h
@@ -6,7 +6,9 @@
 #include "routing/types/request_shape.h"
 #include "scheduling/types/ask.h"
 
+#include <cstddef>
 #include <string>
+#include <vector>
 
 namespace almondline::granting {
 
@@ -35,4 +37,10 @@
 /// "id=score", or "id=state" for one that could not be used.
 std::string describe(const routing::candidate& it);
 
+/// Descriptions of the best candidates, best first, at most as many as given.
+std::vector<std::string> describe_best(std::vector<routing::candidate> candidates,
+                                       std::size_t max_count);
+
+std::string join(const std::vector<std::string>& parts);
+
 } // namespace almondline::granting
--- a/src/granting/tests/granter_test.cpp
+++ b/src/granting/tests/granter_test.cpp
@@ -149,6 +149,9 @@
         CAPTURE(it);
         CHECK(lines[0].find(it) != std::string::npos);
     }
+    const auto at_holder = c.members["e2"]->decisions.explain("r1");
+    REQUIRE(at_holder.size() == 1);
+    CHECK(at_holder[0].find("candidates=") != std::string::npos);
     decision_log small{c.clock, 3};
     for (const auto* id : {"x", "y", "x", "z"}) {
         small.add(id, log_level::info, "grant", {{"request", id}});
--- a/src/peer/tests/transport_test.cpp
+++ b/src/peer/tests/transport_test.cpp
@@ -350,3 +350,18 @@
     CHECK(a->counters().timeouts == 1);
     CHECK(a->open_connections() == 0);
 }
+
+TEST_CASE_FIXTURE(fixture, "the timer enforces timeouts without calls from outside")
+{
+    const system_clock_source real;
+    peer_settings settings;
+    settings.instance_id = "a";
+    settings.listen = {"127.0.0.1", 0};
+    settings.handshake_timeout = 20ms;
+    settings.tick_interval = 1ms;
+    peer_transport a{io, real, settings, [](const std::string&) { return std::string{}; },
+                     [](const std::string&, const wire::envelope&) {}};
+    const auto raw = connect_raw(a, "");
+    CHECK(run_until([&] { return a.counters().timeouts == 1; }));
+    CHECK(a.open_connections() == 0);
+}
