--- a/tests/faults/checks.py
+++ b/tests/faults/checks.py
@@ -14,7 +14,7 @@
 # The driver polls the versions in force with this distance at most.
 POLL_MARGIN_S = 0.5
 # Codes of refusals that drop a request to make room.
-SHED_CODES = {"shed", "queue-full", "overload", "overloaded"}
+SHED_CODES = {"shed"}
 
 
 def _total_by(lines, key, value):
