--- a/src/placement/tests/duty_test.cpp
+++ b/src/placement/tests/duty_test.cpp
@@ -256,6 +256,47 @@
     }
 }
 
+// Guards against counting a slow renewal from its answer: the store may count from its arrival.
+TEST_CASE("a slow renewal counts from before it was sent")
+{
+    manual_clock clock;
+    fake_key_value_store store{clock};
+    lease_keeper keeper{store, clock, "k", "e1", {}};
+    const auto step = [&] {
+        clock.advance(100ms);
+        keeper.tick(clock.now());
+        store.run();
+    };
+    for (int i = 0; i < 150; ++i) {
+        step();
+    }
+    REQUIRE(keeper.may_send_orders(clock.now()));
+    store.set_delay(4s);
+    while (store.pending() == 0) {
+        step();
+    }
+    const auto sent = clock.now();
+    while (store.pending() != 0) {
+        step();
+    }
+    store.set_down(true);
+    while (keeper.may_send_orders(clock.now())) {
+        step();
+    }
+    CHECK(clock.now() - sent == 8s);
+}
+
+TEST_CASE("a lost answer is not taken for an acquisition when another instance was first")
+{
+    fixture f;
+    f.store.set_faults({store_fault::none, store_fault::lose_answer});
+    f.store.before_next_write([&] { f.store.put(placement_lease_key, "rival"); });
+    f.run(30s, {&f.first});
+    CHECK_FALSE(f.first.duty.is_holder());
+    CHECK(f.store.value(placement_lease_key) == "rival");
+    CHECK(f.orders() == 0);
+}
+
 TEST_CASE("an instance that is no candidate any more gives the lease up at once")
 {
     fixture f;
--- a/src/store/http_key_value_store.h
+++ b/src/store/http_key_value_store.h
@@ -16,7 +16,7 @@
 /// Reads and watches move to another address when one fails. Writes and lease calls are attempted
 /// once: a repeated write could not tell its own first attempt from that of another writer.
 /// A call above a limit is answered with failed or refused and not sent. Renewals and revocations
-/// are never held back by the rate limit, because a lapsed lease costs more calls than it saves.
+/// are never held back, because a lapsed lease costs more calls than it saves.
 /// Handlers of calls still pending when the object is destroyed do not run.
 class http_key_value_store final : public key_value_store {
 public:
