Empty the body of the publication that leaves the history

Cause: bodies were kept for ever, because the store's protocol deletes a key only with its lease.

A publication that took effect empties the body that its history drops. Ruled out: bodies under a lease, which would vanish when the publisher ends. Failures are ignored: they don't concern the publication.

--- a/src/manifest/publish.cpp
+++ b/src/manifest/publish.cpp
@@ -52,6 +52,8 @@
     void read_pointer_back();
     void settle(const get_result& r);
     void retry(const std::string& cause, std::function<void()> action);
+    void succeed(publish_status status);
+    void empty_dropped_body(int chunk);
     void lose_race(const manifest_pointer& pointer);
     void finish(publish_status status, const std::string& message);
 
@@ -62,6 +64,7 @@
     std::function<void(const publish_result&)> handler;
     std::vector<std::string> chunks;
     manifest_pointer pointer; ///< record to be written
+    publication dropped;      ///< publication that leaves the history, if it has chunks
     std::uint64_t expected_revision = 0;
     int attempts = 0;
     /// True from the moment a write of the pointer may have taken effect.
@@ -116,7 +119,10 @@
     if (before.current.version > 0) {
         pointer.history.insert(pointer.history.begin(), before.current);
     }
-    pointer.history.resize(std::min(pointer.history.size(), max_history));
+    if (pointer.history.size() > max_history) {
+        dropped = pointer.history.back();
+        pointer.history.resize(max_history);
+    }
     write_chunk(0);
 }
 
@@ -176,9 +182,8 @@
 void publish_operation::note_pointer(const put_result& r)
 {
     if (r.status == put_status::done) {
-        result.version = pointer.current.version;
-        result.current_version = result.version;
-        finish(publish_status::published, {});
+        result.current_version = pointer.current.version;
+        succeed(publish_status::published);
         return;
     }
     if (r.status == put_status::refused && !may_be_published) {
@@ -217,9 +222,8 @@
     result.current_version = now->current.version;
     const auto* same_version = find_version(*now, pointer.current.version);
     if (same_version != nullptr && same_version->publish_id == request.publish_id) {
-        result.version = pointer.current.version;
         const bool is_current = now->current.publish_id == request.publish_id;
-        finish(is_current ? publish_status::published : publish_status::superseded, {});
+        succeed(is_current ? publish_status::published : publish_status::superseded);
         return;
     }
     if (same_version == nullptr && may_be_published) {
@@ -231,6 +235,34 @@
     lose_race(*now);
 }
 
+void publish_operation::succeed(publish_status status)
+{
+    result.status = status;
+    result.version = pointer.current.version;
+    empty_dropped_body(0);
+}
+
+// Without this the store keeps each body for ever: the protocol deletes a key only with its lease.
+// Failures are ignored, they leave a body behind and don't concern the publication.
+void publish_operation::empty_dropped_body(int chunk)
+{
+    if (chunk >= dropped.chunk_count) {
+        finish(result.status, {});
+        return;
+    }
+    const auto self = shared_from_this();
+    const auto key = manifest_chunk_key(dropped.publish_id, chunk);
+    store.get(key, [self, key, chunk](const get_result& r) {
+        if (r.status != get_status::found) {
+            self->empty_dropped_body(chunk + 1);
+            return;
+        }
+        self->store.compare_and_swap(key, r.revision, {}, {}, [self, chunk](const put_result&) {
+            self->empty_dropped_body(chunk + 1);
+        });
+    });
+}
+
 void publish_operation::retry(const std::string& cause, std::function<void()> action)
 {
     if (++attempts <= options.settle_attempts && options.wait) {
--- a/src/manifest/publish.h
+++ b/src/manifest/publish.h
@@ -52,6 +52,7 @@
 /// Publishes a manifest. The body is written under the publish id first, then the pointer is moved
 /// by compare-and-swap. After a lost answer the pointer is read back; the write is repeated only if
 /// the pointer still has the expected revision, so that at most one of the attempts takes effect.
+/// The body of the publication that leaves the history is emptied.
 /// The store and the clock must outlive the call; the handler runs once, on the control thread.
 void publish_manifest(key_value_store& store, const clock_source& clock, publish_request request,
                       publish_options options, std::function<void(const publish_result&)> handler);
--- a/src/manifest/tests/publish_test.cpp
+++ b/src/manifest/tests/publish_test.cpp
@@ -78,6 +78,13 @@
     CHECK(fetched.pointer.current.digest == sha256_hex(sample_manifest));
     REQUIRE(fetched.pointer.history.size() == max_history);
     CHECK(fetched.pointer.history.front().version == 24);
+    // Only the bodies that the history names take space in the store.
+    CHECK(fetched.pointer.history.back().publish_id == "p4");
+    CHECK(f.store.value(manifest_chunk_key("p4", 0)) == sample_manifest);
+    CHECK(f.store.value(manifest_chunk_key("p3", 0)).empty());
+    f.store.set_faults({store_fault::none, store_fault::none, store_fault::refuse});
+    CHECK(f.publish("p25", 25).status == publish_status::published);
+    CHECK(f.store.value(manifest_chunk_key("p4", 0)) == sample_manifest);
 }
 
 // Guards against a change that overwrites another operator's, and against a lost answer that is
