--- a/tests/faults/checks_test.py
+++ b/tests/faults/checks_test.py
@@ -54,6 +54,8 @@
     ("ran twice", "same id twice", lambda s: setattr(s.journal[0], "ran", 2)),
     ("ran twice", "on two engines", lambda s: s.journal.append(line(1, backend="engine-2"))),
     ("false refusals", "the refused call ran", lambda s: s.journal.append(line(3))),
+    ("false refusals", "the refused retry ran", lambda s: (
+        s.calls.append(refused_call(1, is_retry=True, request_id="id-1")))),
     ("answers lost", "no answer", lambda s: s.calls.append(
         good_call(4, ended=0, status=0, answer="", is_complete=False))),
     ("answers lost", "answer without a run", without_journal_line),
@@ -78,6 +80,7 @@
         good_call(4, entry="entry-1", answer="a ", is_complete=False, error="reset"))),
     ("refusals without Retry-After", "none given", lambda s: setattr(
         s.calls[2], "retry_after", "")),
+    ("refusals late", "near the deadline", lambda s: setattr(s.calls[2], "ended", 119.0)),
 ]
 
 # Changes that must not be reported.
@@ -96,6 +99,8 @@
         s.calls.append(refused_call(4, tier=0, sent=100.0, ended=100.3)),
         s.calls.append(good_call(5, tier=2, sent=100.2, ended=102.0)),
         s.journal.append(line(5, arrived=101.0)))),
+    ("retry refused after the first attempt ran", lambda s: s.calls.append(
+        refused_call(1, is_retry=True, request_id="other"))),
     ("work within 3 s of leaving", lambda s: s.journal.append(
         line(6, backend="engine-1", arrived=92.5))),
     ("work after it stayed", lambda s: (
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -3,6 +3,7 @@
 import re
 import threading
 import time
+from collections import Counter
 from datetime import datetime
 
 from faults.load import AddressBook, Load
@@ -218,4 +219,6 @@
             "unknown": sum(not it.is_answered and it.verdict != "not-run" for it in calls),
             "detect s": "/".join("-" if it is None else f"{it:.1f}" for it in detected),
             "recover s": f"{self._recovered_s():.1f}",
+            "codes": dict(Counter(f"tier {it.tier} {it.service}: {it.code or it.error}"
+                                  for it in calls if not it.is_answered)),
         }
