Bound membership traffic while a large fleet starts together

Conclusion: unverified members are probed in an order of each instance's own, and samples are sent once per peer.

--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -108,7 +108,7 @@
     const auto [it, is_new] = records_.try_emplace(id);
     if (is_new) {
         it->second.info.id = id;
-        it->second.since = it->second.first_heard = it->second.last_listed = now;
+        it->second.since = it->second.last_listed = now;
         ids_.push_back(id);
         unverified_.insert(id);
         // Its own announcement usually arrives first. Without the delay a new member would be
@@ -145,8 +145,12 @@
         return;
     }
     const bool is_first_sight = known.info.incarnation == 0;
+    const bool is_later = update.incarnation > self_.incarnation + config_.youth.count();
     adopt(known, update, now);
-    if (!is_first_sight || now - started_ >= config_.youth) {
+    // Suspicions and refutations are passed on by those who didn't know the member, too: in a fleet
+    // that starts they are the most, and a refutation that stops there comes too late.
+    const bool is_disputed = update.status == member_status::suspect || update.refutation > 0;
+    if (!is_first_sight || is_later || is_disputed) {
         push_update(updates_, update.id, records_.size() + 1);
     }
 }
@@ -181,7 +185,7 @@
         known.info.manifest_version = update.manifest_version;
         known.info.status = member_status::alive;
         known.is_leaving = false;
-        known.first_heard = now;
+        known.is_sampled = false;
         known.unanswered_since.reset();
         copy_if_given(known.info.failure_domain, update.failure_domain);
         count_in_domain(known, 1);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -26,8 +26,9 @@
     std::chrono::milliseconds dead_after{1000};    ///< time to refute a suspicion
     std::chrono::milliseconds gossip_interval{200};
     std::chrono::milliseconds verify_interval{200}; ///< probes of members not heard of yet
-    /// A new member learns the others from the list, by probing and from samples of the tables of
-    /// its peers for this long. Gossip about the members that it meets would repeat known facts.
+    /// A new member learns the others from the list, by probing and from samples of its peers'
+    /// tables. Gossip about a member that it meets would repeat known facts, unless that one
+    /// started this much later than itself.
     std::chrono::milliseconds youth{10'000};
     std::chrono::milliseconds forget_after{60'000}; ///< silent and not in the list
     /// A longer gap between ticks means that this process was paused: silence proves nothing then.
@@ -92,11 +93,11 @@
         bool is_leaving = false;           ///< said by the member itself
         std::int64_t leaving_in_list = -1; ///< incarnation that the list calls leaving, or -1
         steady_time since;                 ///< of the status
-        steady_time first_heard;           ///< of the incarnation
         steady_time last_listed;           ///< last list with this member, or its first sight
         steady_time next_probe;
         std::optional<steady_time> unanswered_since;
-        int probes_sent = 0; ///< since unanswered_since
+        int probes_sent = 0;     ///< since unanswered_since
+        bool is_sampled = false; ///< got samples of this table with the ack to its first probe
     };
     struct domain_state {
         int members = 0; ///< heard of and not dead
@@ -129,8 +130,7 @@
                 std::vector<outgoing_message>& out);
     void handle_ack(const std::string& from, const probe_message& message, steady_time now,
                     std::vector<outgoing_message>& out);
-    probe_message make_message(const std::string& to, bool is_ack, std::int64_t nonce,
-                               steady_time now);
+    probe_message make_message(const std::string& to, bool is_ack, std::int64_t nonce);
     const record* random_peer(const std::string& except);
     std::vector<std::string> successors() const;
 
@@ -159,6 +159,7 @@
     std::unordered_map<std::string, domain_state> domains_;
     std::unordered_map<std::int64_t, relay> relays_;          ///< by the nonce sent to the target
     std::unordered_map<std::int64_t, pending_probe> pending_; ///< indirect probes requested
+    std::vector<std::string> verify_round_;                   ///< unverified ids left in this round
     std::vector<std::string> round_; ///< ids left in this round of random probes
     std::size_t hurried_probes_ = 0; ///< random probes to be made at a higher rate
     update_queue updates_;
--- a/src/membership/probing.cpp
+++ b/src/membership/probing.cpp
@@ -120,7 +120,7 @@
     }
     ++target.probes_sent;
     target.next_probe = now + (is_suspect ? config_.probe_interval : config_.retry_interval);
-    out.push_back({id, make_message(id, false, ++last_nonce_, now)});
+    out.push_back({id, make_message(id, false, ++last_nonce_)});
 }
 
 void member_table::request_probes(const record& target, steady_time now,
@@ -131,7 +131,7 @@
         if (relay == nullptr) {
             return;
         }
-        auto message = make_message(relay->info.id, false, ++last_nonce_, now);
+        auto message = make_message(relay->info.id, false, ++last_nonce_);
         message.indirect_target = target.info.id;
         pending_[last_nonce_] = {target.info.id, now + request_lifetime};
         out.push_back({relay->info.id, std::move(message)});
@@ -168,7 +168,7 @@
         }
         else {
             // A member wrongly held for dead learns of it and refutes.
-            out.push_back({id, make_message(id, false, ++last_nonce_, now)});
+            out.push_back({id, make_message(id, false, ++last_nonce_)});
         }
     }
 }
@@ -179,18 +179,22 @@
         return;
     }
     next_verify_ = now + config_.verify_interval;
-    int probes = 0;
-    for (const auto& id : unverified_) {
-        auto& it = records_.at(id);
-        if (now < it.next_probe) {
+    if (verify_round_.empty()) {
+        // In an order of its own, so that members started together don't all probe the same one.
+        verify_round_.assign(unverified_.begin(), unverified_.end());
+        std::shuffle(verify_round_.begin(), verify_round_.end(), random_);
+    }
+    for (int probes = 0; probes < config_.verify_probes && !verify_round_.empty();) {
+        const auto id = verify_round_.back();
+        verify_round_.pop_back();
+        const auto it = records_.find(id);
+        if (unverified_.count(id) == 0 || now < it->second.next_probe) {
             continue;
         }
-        it.next_probe =
+        it->second.next_probe =
             now + std::chrono::seconds{1} + std::chrono::milliseconds{random_() % 1000U};
-        out.push_back({id, make_message(id, false, ++last_nonce_, now)});
-        if (++probes >= config_.verify_probes) {
-            return;
-        }
+        out.push_back({id, make_message(id, false, ++last_nonce_)});
+        ++probes;
     }
 }
 
@@ -203,7 +207,7 @@
     for (int i = 0; i < config_.gossip_fanout; ++i) {
         const auto* peer = random_peer({});
         if (peer != nullptr) {
-            out.push_back({peer->info.id, make_message(peer->info.id, false, 0, now)});
+            out.push_back({peer->info.id, make_message(peer->info.id, false, 0)});
         }
     }
 }
@@ -277,13 +281,13 @@
         }
         const auto& target = message.indirect_target;
         relays_[++last_nonce_] = {from, target, message.nonce, now + request_lifetime};
-        out.push_back({target, make_message(target, false, last_nonce_, now)});
+        out.push_back({target, make_message(target, false, last_nonce_)});
         return;
     }
     const auto status = records_.at(from).info.status;
     const bool is_doubted = status == member_status::suspect || status == member_status::dead;
     if (message.nonce != 0 || is_doubted) {
-        out.push_back({from, make_message(from, message.nonce != 0, message.nonce, now)});
+        out.push_back({from, make_message(from, message.nonce != 0, message.nonce)});
     }
 }
 
@@ -301,7 +305,7 @@
     if (relay == relays_.end() || relay->second.target != from) {
         return;
     }
-    auto ack = make_message(relay->second.requester, true, relay->second.nonce, now);
+    auto ack = make_message(relay->second.requester, true, relay->second.nonce);
     ack.indirect_target = from;
     out.push_back({relay->second.requester, std::move(ack)});
     relays_.erase(relay);
@@ -320,8 +324,7 @@
     domains_[it->second.info.failure_domain].last_heard = now;
 }
 
-probe_message member_table::make_message(const std::string& to, bool is_ack, std::int64_t nonce,
-                                         steady_time now)
+probe_message member_table::make_message(const std::string& to, bool is_ack, std::int64_t nonce)
 {
     probe_message message{is_ack, nonce, {self_}, {}};
     auto& updates = message.updates;
@@ -340,7 +343,8 @@
             updates.push_back(it->second.info);
         }
     }
-    if (is_ack && is_known && now - peer->second.first_heard < config_.youth) {
+    if (is_ack && is_known && !peer->second.is_sampled) {
+        peer->second.is_sampled = true;
         while (updates.size() < config_.max_updates) {
             const auto* sample = random_peer(to);
             if (sample == nullptr) {
