Keep headroom on the fastest replicas for accounts without a backlog

Change: while accounts without a backlog have demand, accounts with one leave 15% of the slots, on the fastest replicas, to them. pick() is told the free slots there, may_use_headroom() tells routing; tier floors go first as before. Without a backlog in the queue nothing changes.

--- a/src/bench/internal/granter_policy.cpp
+++ b/src/bench/internal/granter_policy.cpp
@@ -56,7 +56,7 @@
     scheduling::slot_view slots() const
     {
         const routing::slot_counts counts = routing::count_slots(table_, sim_.clock());
-        return {counts.total, counts.free};
+        return {counts.total, counts.free, counts.free_headroom};
     }
 
     void send_ask(request& what)
@@ -108,7 +108,8 @@
     void grant_all()
     {
         while (auto next = scheduling::pick(queue_, slots(), sim_.clock())) {
-            const auto shape = make_shape(*next);
+            auto shape = make_shape(*next);
+            shape.leaves_headroom = !scheduling::may_use_headroom(queue_, *next, sim_.clock());
             const auto chosen = routing::choose(table_, shape, sim_.clock());
             if (!chosen) {
                 scheduling::put_back(queue_, std::move(*next), sim_.clock());
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -95,7 +95,7 @@
     const double mean = mean_share(table);
     choice best;
     const replica* chosen = nullptr;
-    bool is_probe = false;
+    int best_rank = 3; // probes first, headroom last
     std::size_t usable = 0;
     best.candidates.reserve(table.replicas.size());
     for (std::size_t i = 0; i < table.replicas.size(); ++i) {
@@ -114,11 +114,10 @@
         entry.hit_tokens = expected.hit_tokens;
         usable += entry.state == candidate_state::usable ? 1 : 0;
         const bool is_due = entry.state == candidate_state::probe;
-        const bool is_better = chosen == nullptr || (is_due && !is_probe) ||
-                               (is_due == is_probe && expected.score < best.score);
-        if (is_better) {
+        const int rank = is_due ? 0 : (request.leaves_headroom && each.keeps_headroom ? 2 : 1);
+        if (rank < best_rank || (rank == best_rank && expected.score < best.score)) {
             chosen = &each;
-            is_probe = is_due;
+            best_rank = rank;
             best.score = expected.score;
             best.hit_tokens = expected.hit_tokens;
             best.first_token = expected.first_token;
@@ -129,7 +128,7 @@
     }
     best.id = chosen->spec.id;
     best.address = chosen->spec.address;
-    best.reason = describe(best, is_probe, usable);
+    best.reason = describe(best, best_rank == 0, usable);
     return best;
 }
 
@@ -147,8 +146,10 @@
             continue;
         }
         const int limit = slot_limit(table, each);
+        const int free = std::max(0, limit - used_slots(table, each, now));
         counts.total += limit;
-        counts.free += std::max(0, limit - used_slots(table, each, now));
+        counts.free += free;
+        counts.free_headroom += each.keeps_headroom ? free : 0;
     }
     return counts;
 }
--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -102,6 +102,32 @@
     learn_class(table.classes[of.class_index], alone);
 }
 
+/// Marks the fastest replicas whose slots make up the share for headroom.
+void mark_headroom(replica_table& table)
+{
+    std::vector<replica*> present;
+    int all = 0;
+    for (replica& each : table.replicas) {
+        each.keeps_headroom = false;
+        if (each.is_present && !each.is_leaving) {
+            present.push_back(&each);
+            all += each.spec.max_in_flight;
+        }
+    }
+    std::stable_sort(present.begin(), present.end(), [](const replica* a, const replica* b) {
+        return a->spec.prefill_rate > b->spec.prefill_rate;
+    });
+    int kept = 0;
+    for (replica* each : present) {
+        // A pool of one replica has none to spare.
+        if (kept >= table.config.headroom_share * all || each == present.back()) {
+            return;
+        }
+        each->keeps_headroom = true;
+        kept += each->spec.max_in_flight;
+    }
+}
+
 /// Takes a request out of the work in flight. Returns false if it was not there.
 bool release(replica& of, const std::string& request_id, dispatched_work& work, steady_time now)
 {
@@ -165,6 +191,7 @@
         known->decode_rate = known->spec.decode_rate;
         known->kv_capacity = spec.kv_tokens;
     }
+    mark_headroom(table);
 }
 
 void remove_replica(replica_table& table, const std::string& id)
@@ -176,12 +203,14 @@
     forget_all_blocks(table, it->second);
     table.replicas[it->second] = {};
     table.index.erase(it);
+    mark_headroom(table);
 }
 
 void mark_leaving(replica_table& table, const std::string& id)
 {
     if (replica* of = find(table, id)) {
         of->is_leaving = true;
+        mark_headroom(table);
     }
 }
 
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -265,3 +265,20 @@
     const auto result = choose(f.table, make_request("x"), f.clock.now());
     CHECK(result->reason.find("lowest score") == 0);
 }
+
+TEST_CASE("requests of a backlog leave the fastest replica alone while another can take them")
+{
+    fixture f{make_spec("slow", 1, 2), make_spec("fast", 4, 2), make_spec("slow2", 1, 2)};
+    CHECK(count_slots(f.table, f.clock.now()).free_headroom == 2);
+    request_shape request = make_request("x");
+    CHECK(f.chosen(request) == "fast");
+    request.leaves_headroom = true;
+    for (const char* id : {"a", "b", "c", "d"}) {
+        request.request_id = id;
+        CHECK(f.chosen(request).starts_with("slow"));
+        on_dispatch(f.table, f.chosen(request), request, f.clock.now());
+    }
+    CHECK(f.chosen(request) == "fast"); // rather than fail after the queue decided
+    mark_leaving(f.table, "fast");
+    CHECK(count_slots(f.table, f.clock.now()).free_headroom == 0);
+}
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -65,7 +65,8 @@
     double prefill_rate = 0; ///< learned, tokens per second
     double decode_rate = 0;  ///< learned, tokens per second of a stream that runs alone
     double kv_capacity = 0;  ///< tokens, as reported or else as specified; 0: not limited
-    int in_flight = 0;       ///< own work, known at once
+    bool keeps_headroom = false;   ///< one of the fastest, see routing_config::headroom_share
+    int in_flight = 0;             ///< own work, known at once
     double kv_tokens_used = 0;     ///< reserved by own work
     steady_time prefill_free_at{}; ///< when the prefill of own work is expected to be done
     std::unordered_map<std::string, dispatched_work> work; ///< by request id
@@ -112,6 +113,10 @@
     double affinity_slack = 0.25;
     /// Tokens in a prefix block, 0: prompt tokens divided by the number of blocks.
     double block_tokens = 0;
+    /// Share of all slots, on the fastest replicas, that accounts with a backlog leave to others
+    /// while these have demand. On a full replica a prompt takes several times as long as on an
+    /// idle one, whatever the order in the queue.
+    double headroom_share = 0.15;
     double kv_headroom = 0.95; ///< share of the KV capacity that is filled
     /// Slowdown of each stream when max_in_flight streams run, over one that runs alone.
     double batch_slowdown = 1.0;
--- a/src/routing/types/reports.h
+++ b/src/routing/types/reports.h
@@ -75,6 +75,7 @@
 struct slot_counts {
     int total = 0;
     int free = 0;
+    int free_headroom = 0; ///< of the free ones, on replicas that keep headroom
 };
 
 } // namespace almondline::routing
--- a/src/routing/types/request_shape.h
+++ b/src/routing/types/request_shape.h
@@ -14,6 +14,7 @@
     std::vector<std::uint64_t> prefix_blocks; ///< chained hashes of the prompt's blocks, in order
     std::vector<std::string> excluded;        ///< backend servers not to be chosen
     std::string failure_domain;               ///< of the entry instance that will dispatch
+    bool leaves_headroom = false; ///< goes to replicas that keep headroom only if no other is free
 };
 
 } // namespace almondline::routing
--- a/src/scheduling/internal/order.cpp
+++ b/src/scheduling/internal/order.cpp
@@ -29,11 +29,23 @@
     }
 }
 
+/// Moves an active flow to another start tag.
+void move_flow(flow& of, double start)
+{
+    kind_queue& kind = *of.parent;
+    const bool is_prompt = kind.prompt.erase({of.start, of.number, &of}) > 0;
+    index_start(kind.order, of, start);
+    if (is_prompt) {
+        kind.prompt.insert({start, of.number, &of});
+    }
+}
+
 void activate(flow& of)
 {
     kind_queue& kind = *of.parent;
     if (!of.is_active) {
         index_start(kind.order, of, std::max(kind.virtual_time, of.finish));
+        kind.prompt.insert({of.start, of.number, &of});
     }
     if (!kind.is_active) {
         index_start(kind.parent->order, kind, std::max(kind.parent->virtual_time, kind.finish));
@@ -43,6 +55,7 @@
 void deactivate(flow& of)
 {
     kind_queue& kind = *of.parent;
+    kind.prompt.erase({of.start, of.number, &of});
     unindex_start(kind.order, of);
     if (kind.order.empty()) {
         unindex_start(kind.parent->order, kind);
@@ -121,7 +134,8 @@
     return found;
 }
 
-waiting_ask& insert_waiting(queue_state& queue, flow& to, ask what, std::uint64_t sequence)
+waiting_ask& insert_waiting(queue_state& queue, flow& to, ask what, std::uint64_t sequence,
+                            steady_time now)
 {
     const auto [it, is_new] = queue.waiting.try_emplace(what.request_id);
     waiting_ask& entry = it->second;
@@ -135,6 +149,9 @@
     entry.queued_before = sharing.cost_entered;
     entry.what = std::move(what);
     queue.by_sequence.emplace(sequence, &entry);
+    if (to.asks.empty()) {
+        to.waiting_since = now;
+    }
     to.asks.emplace(sequence, &entry);
     if (sharing.asks.empty()) {
         tier.active_weight += to.account->weight;
@@ -198,6 +215,25 @@
     return std::get<2>(*kind.order.begin())->asks.begin()->second;
 }
 
+bool has_backlog(const queue_state& queue, const flow& of, steady_time now)
+{
+    return !of.asks.empty() && now - of.waiting_since > queue.config.backlog_after;
+}
+
+waiting_ask* head_without_backlog(const queue_state& queue, tier_queue& tier, steady_time now)
+{
+    for (const auto& [start, number, kind] : tier.order) {
+        while (!kind->prompt.empty()) {
+            flow* first = std::get<2>(*kind->prompt.begin());
+            if (!has_backlog(queue, *first, now)) {
+                return first->asks.begin()->second;
+            }
+            kind->prompt.erase(kind->prompt.begin());
+        }
+    }
+    return nullptr;
+}
+
 void charge_pick(flow& of, double cost)
 {
     kind_queue& kind = *of.parent;
@@ -207,7 +243,7 @@
     kind.finish = kind.start + cost / kind.weight;
     of.finish = of.start + cost / of.account->weight;
     index_start(tier.order, kind, kind.finish);
-    index_start(kind.order, of, of.finish);
+    move_flow(of, of.finish);
 }
 
 void charge_correction(flow& of, double difference)
@@ -216,7 +252,7 @@
     of.finish += difference / of.account->weight;
     kind.finish += difference / kind.weight;
     if (of.is_active) {
-        index_start(kind.order, of, of.start + difference / of.account->weight);
+        move_flow(of, of.start + difference / of.account->weight);
     }
     if (kind.is_active) {
         index_start(kind.parent->order, kind, kind.start + difference / kind.weight);
--- a/src/scheduling/internal/order.h
+++ b/src/scheduling/internal/order.h
@@ -10,7 +10,8 @@
 flow& find_flow(queue_state& queue, int tier, const std::string& kind, const std::string& account);
 
 /// Adds an ask with this sequence number.
-waiting_ask& insert_waiting(queue_state& queue, flow& to, ask what, std::uint64_t sequence);
+waiting_ask& insert_waiting(queue_state& queue, flow& to, ask what, std::uint64_t sequence,
+                            steady_time now);
 
 /// Removes a waiting ask and returns it.
 ask remove_waiting(queue_state& queue, waiting_ask& entry);
@@ -19,6 +20,12 @@
 waiting_ask* head_of(const tier_queue& tier);
 waiting_ask* head_of(const kind_queue& kind);
 
+/// True if the asks of the flow have waited without a break for queue_config::backlog_after.
+bool has_backlog(const queue_state& queue, const flow& of, steady_time now);
+
+/// Next ask of the tier whose flow has no backlog. Null if there is none.
+waiting_ask* head_without_backlog(const queue_state& queue, tier_queue& tier, steady_time now);
+
 /// Charges a picked ask to its kind and account. A negative cost gives a charge back.
 void charge_pick(flow& of, double cost);
 void charge_correction(flow& of, double difference);
--- a/src/scheduling/queue.cpp
+++ b/src/scheduling/queue.cpp
@@ -132,6 +132,26 @@
     return nullptr;
 }
 
+bool is_recent(steady_time when, const queue_config& config, steady_time now)
+{
+    return when != steady_time{} && now - when <= config.demand_window;
+}
+
+/// Next ask if only headroom is free. A backlog gets it only while nobody else of its own or a more
+/// urgent tier has demand.
+waiting_ask* find_next_in_headroom(queue_state& queue, steady_time now)
+{
+    bool is_needed = false;
+    for (tier_queue& tier : queue.tiers) {
+        is_needed = is_needed || is_recent(tier.last_prompt_arrival, queue.config, now);
+        waiting_ask* head = is_needed ? head_without_backlog(queue, tier, now) : head_of(tier);
+        if (head != nullptr) {
+            return head;
+        }
+    }
+    return nullptr;
+}
+
 } // namespace
 
 queue_state make_queue(queue_config config)
@@ -179,7 +199,7 @@
         flow& to = find_flow(next, what.tier, what.kind, what.account);
         to.parent->parent->floor.last_arrival = now;
         to.parent->floor->last_arrival = now;
-        insert_waiting(next, to, std::move(what), next.next_sequence++);
+        insert_waiting(next, to, std::move(what), next.next_sequence++, now);
     }
     queue = std::move(next);
     std::vector<shed_ask> shed;
@@ -222,7 +242,10 @@
     enqueue_result result;
     const std::string id = what.request_id;
     const double cost = what.cost;
-    insert_waiting(queue, to, std::move(what), queue.next_sequence++);
+    if (!has_backlog(queue, to, now)) {
+        tier.last_prompt_arrival = now;
+    }
+    insert_waiting(queue, to, std::move(what), queue.next_sequence++, now);
     if (!starts_now) {
         shed_excess(queue, result.shed);
     }
@@ -248,7 +271,8 @@
     }
     waiting_ask* next = find_reserved(queue);
     if (next == nullptr && slots.free > unfilled_slots) {
-        next = find_next(queue);
+        const bool is_headroom = slots.free <= slots.free_headroom;
+        next = is_headroom ? find_next_in_headroom(queue, now) : find_next(queue);
     }
     if (next == nullptr) {
         return std::nullopt;
@@ -280,7 +304,7 @@
         return;
     }
     flow& to = find_flow(queue, what.tier, what.kind, what.account);
-    insert_waiting(queue, to, std::move(what), --queue.front_sequence);
+    insert_waiting(queue, to, std::move(what), --queue.front_sequence, now);
 }
 
 bool cancel(queue_state& queue, const std::string& request_id, steady_time)
@@ -331,6 +355,22 @@
     return removed;
 }
 
+bool may_use_headroom(const queue_state& queue, const ask& what, steady_time now)
+{
+    const int last = static_cast<int>(queue.tiers.size()) - 1;
+    const tier_queue& tier = queue.tiers[static_cast<std::size_t>(std::clamp(what.tier, 0, last))];
+    const bool is_needed = std::any_of(
+        queue.tiers.begin(), queue.tiers.begin() + tier.rank + 1, [&](const tier_queue& each) {
+            return is_recent(each.last_prompt_arrival, queue.config, now);
+        });
+    const auto kind = tier.kinds.find(what.kind);
+    if (!is_needed || kind == tier.kinds.end()) {
+        return true;
+    }
+    const auto of = kind->second.flows.find(what.account);
+    return of == kind->second.flows.end() || !has_backlog(queue, of->second, now);
+}
+
 bool is_waiting(const queue_state& queue, const std::string& request_id)
 {
     return queue.waiting.contains(request_id);
--- a/src/scheduling/queue.h
+++ b/src/scheduling/queue.h
@@ -50,6 +50,10 @@
 /// every 100 ms: a caller must not be held until its deadline.
 std::vector<shed_ask> expire(queue_state& queue, steady_time now);
 
+/// False if the account of an ask that pick() returned has a backlog while others have demand: the
+/// ask should leave the headroom of the fastest replicas free (request_shape::leaves_headroom).
+bool may_use_headroom(const queue_state& queue, const ask& what, steady_time now);
+
 bool is_waiting(const queue_state& queue, const std::string& request_id);
 bool is_in_progress(const queue_state& queue, const std::string& request_id);
 
--- a/src/scheduling/tests/order_test.cpp
+++ b/src/scheduling/tests/order_test.cpp
@@ -174,3 +174,30 @@
     finish(queue, "r", 5, clock.now());
     CHECK(pick_id(queue, {10, 5}, clock.now()) == "a2");
 }
+
+TEST_CASE("a backlog leaves headroom to an account without one, and takes it when nobody needs it")
+{
+    manual_clock clock;
+    queue_config config = three_tiers(100);
+    config.tiers[1].floor = 0; // a free reserved slot would come first
+    queue_state queue = make_queue(config);
+    const slot_view only_headroom{10, 2, 2};
+    for (int i = 0; i < 10; ++i) {
+        enqueue(queue, make_ask("l" + std::to_string(i), 0, "large"), {10, 0, 0}, clock.now());
+    }
+    clock.advance(2s);
+    enqueue(queue, make_ask("s0", 0, "small"), only_headroom, clock.now());
+    const auto first = pick(queue, only_headroom, clock.now());
+    REQUIRE(first);
+    CHECK(first->request_id == "s0");
+    CHECK(may_use_headroom(queue, *first, clock.now()));
+    CHECK_FALSE(pick(queue, only_headroom, clock.now()));
+    const auto other = pick(queue, {10, 3, 2}, clock.now());
+    REQUIRE(other);
+    CHECK(other->account == "large");
+    CHECK_FALSE(may_use_headroom(queue, *other, clock.now()));
+    // A less urgent tier has no claim on headroom against this one.
+    enqueue(queue, make_ask("n", 1, "small"), {10, 0, 0}, clock.now());
+    clock.advance(5001ms);
+    CHECK(pick_id(queue, only_headroom, clock.now()) == "l1");
+}
--- a/src/scheduling/types/queue_config.h
+++ b/src/scheduling/types/queue_config.h
@@ -18,6 +18,8 @@
     std::size_t max_waiting = 1000;
     /// A floor stays reserved for this long after the last arrival that it is for.
     std::chrono::milliseconds demand_window{5000};
+    /// An account whose asks have waited for this long without a break has a backlog.
+    std::chrono::milliseconds backlog_after{1000};
     /// Bounds of a computed retry-after.
     std::chrono::milliseconds min_retry_after{100};
     std::chrono::milliseconds max_retry_after{60'000};
--- a/src/scheduling/types/queue_state.h
+++ b/src/scheduling/types/queue_state.h
@@ -68,6 +68,7 @@
     double start = 0;
     double finish = 0;
     bool is_active = false;
+    steady_time waiting_since{}; ///< its asks wait without a break
 };
 
 /// Flows of one kind in one tier.
@@ -83,6 +84,7 @@
     bool is_active = false;
     std::map<std::string, flow, std::less<>> flows; ///< by account
     ordered_index<flow> order;                      ///< active flows by start tag
+    ordered_index<flow> prompt; ///< of these, flows that may still have no backlog
 };
 
 /// What one account has in one tier, over all kinds. Decides who is shed.
@@ -109,8 +111,9 @@
     std::set<std::pair<steady_time, std::uint64_t>> by_latest_start; ///< with the sequence
     std::size_t waiting = 0;
     double waiting_cost = 0;
-    double active_weight = 0; ///< sum over accounts with waiting asks
-    decaying_rate arrivals{}; ///< cost per second, refused asks excluded
+    steady_time last_prompt_arrival{}; ///< of an account without a backlog
+    double active_weight = 0;          ///< sum over accounts with waiting asks
+    decaying_rate arrivals{};          ///< cost per second, refused asks excluded
 };
 
 /// An ask between pick() and finish().
--- a/src/scheduling/types/results.h
+++ b/src/scheduling/types/results.h
@@ -20,6 +20,8 @@
 struct slot_view {
     int total = 0; ///< that usable replicas have, free or not
     int free = 0;
+    /// Of the free ones, slots on replicas kept for accounts without a backlog.
+    int free_headroom = 0;
 };
 
 /// An ask that was removed from the queue, with the answer for its caller.
