Add measurement of what an entry instance adds to a call

Cause: the design states under 1 ms added at the median and no loss with 500 open streams; nothing measured it. Ruled out: a Python load generator (its own time exceeds the difference).

--- /dev/null
+++ b/src/bench/internal/overhead.cpp
@@ -0,0 +1,219 @@
+#include "bench/internal/overhead.h"
+
+#include "http/client.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+namespace almondline::bench {
+
+namespace asio = boost::asio;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::milliseconds call_timeout{30'000};
+
+struct sample {
+    double first_byte_ms = 0;
+    double whole_ms = 0;
+    std::size_t bytes = 0;
+    bool is_complete = false;
+};
+
+/// Where calls go, and with which key.
+struct destination {
+    std::string name;
+    endpoint_text address;
+    std::string key;
+    int pid = 0; ///< 0: processor time not wanted
+};
+
+double since(steady::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(steady::now() - start).count();
+}
+
+http_request make_request(const destination& to, const std::string& model, int tokens, int number)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.headers.push_back({"Content-Type", "application/json"});
+    request.headers.push_back(
+        {"X-Request-Id", "overhead-" + std::to_string(getpid()) + "-" + std::to_string(number)});
+    if (!to.key.empty()) {
+        request.headers.push_back({"Authorization", "Bearer " + to.key});
+    }
+    request.body = R"({"model":")" + model + R"(","stream":true,"max_tokens":)" +
+                   std::to_string(tokens) +
+                   R"(,"messages":[{"role":"user","content":"How long does a call take?"}]})";
+    return request;
+}
+
+asio::awaitable<sample> call(destination to, http_request request)
+{
+    sample out;
+    const auto start = steady::now();
+    http_connection connection{co_await asio::this_coro::executor};
+    auto failure = co_await connection.connect(to.address, call_timeout);
+    if (failure.empty()) {
+        failure = co_await connection.write_request(request, call_timeout);
+    }
+    http_response response;
+    if (failure.empty()) {
+        failure = co_await connection.read_header(response, call_timeout);
+    }
+    std::string body;
+    bool is_done = false;
+    while (failure.empty() && !is_done) {
+        failure = co_await connection.read_some(body, is_done, call_timeout);
+        if (out.first_byte_ms == 0 && !body.empty()) {
+            out.first_byte_ms = since(start);
+        }
+    }
+    out.whole_ms = since(start);
+    out.bytes = body.size();
+    out.is_complete = failure.empty() && body.find("[DONE]") != body.npos;
+    co_return out;
+}
+
+/// User and system time of a process in ms, 0 if it can't be read.
+double processor_ms(int pid)
+{
+    std::ifstream in{"/proc/" + std::to_string(pid) + "/stat"};
+    std::string text;
+    std::getline(in, text);
+    const auto end = text.rfind(')');
+    unsigned long user = 0;
+    unsigned long system = 0;
+    if (end == text.npos ||
+        std::sscanf(text.c_str() + end + 1, " %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+                    &user, &system) != 2) {
+        return 0;
+    }
+    return 1000.0 * static_cast<double>(user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double quantile(std::vector<double> values, double q)
+{
+    std::sort(values.begin(), values.end());
+    const auto n = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1));
+    return values[n];
+}
+
+struct series {
+    std::vector<double> first;
+    std::vector<double> whole;
+    double processor = 0; ///< ms a call
+    int failed = 0;
+};
+
+void add(series& to, const sample& one)
+{
+    to.first.push_back(one.first_byte_ms);
+    to.whole.push_back(one.whole_ms);
+    to.failed += one.is_complete ? 0 : 1;
+}
+
+asio::awaitable<void> alternate(const std::vector<destination>& targets,
+                                const overhead_options& options, std::vector<series>& results)
+{
+    int number = 0;
+    for (int i = 0; i < options.calls; ++i) {
+        for (std::size_t n = 0; n < targets.size(); ++n) {
+            auto request = make_request(targets[n], options.model, 1, ++number);
+            const double before = processor_ms(targets[n].pid);
+            const auto one = co_await call(targets[n], std::move(request));
+            results[n].processor += processor_ms(targets[n].pid) - before;
+            add(results[n], one);
+        }
+    }
+}
+
+void print_calls(const std::vector<destination>& targets, const std::vector<series>& results,
+                 int calls)
+{
+    std::printf("| calls to | first byte median ms | p99 ms | whole answer median ms | p99 ms | "
+                "added median ms | ratio median | ratio p99 | processor ms a call | failed |\n"
+                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    const double base = quantile(results[0].whole, 0.5);
+    const double base_p99 = quantile(results[0].whole, 0.99);
+    for (std::size_t n = 0; n < targets.size(); ++n) {
+        const auto& it = results[n];
+        const double median = quantile(it.whole, 0.5);
+        const double p99 = quantile(it.whole, 0.99);
+        std::printf("| %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.2f | %.2f | %.3f | %d |\n",
+                    targets[n].name.c_str(), quantile(it.first, 0.5), quantile(it.first, 0.99),
+                    median, p99, median - base, median / base, p99 / base_p99, it.processor / calls,
+                    it.failed);
+    }
+}
+
+asio::awaitable<void> call_into(sample& out, destination to, http_request request)
+{
+    out = co_await call(std::move(to), std::move(request));
+}
+
+/// Opens many streams at once; prints bytes and time. Returns false if one was incomplete.
+bool run_streams(const destination& to, const overhead_options& options, int first_number)
+{
+    asio::io_context io;
+    std::vector<sample> samples(static_cast<std::size_t>(options.streams));
+    const auto start = steady::now();
+    for (std::size_t i = 0; i < samples.size(); ++i) {
+        auto request = make_request(to, options.model, options.stream_tokens,
+                                    first_number + static_cast<int>(i));
+        asio::co_spawn(io, call_into(samples[i], to, std::move(request)), asio::detached);
+    }
+    const double before = processor_ms(to.pid);
+    io.run();
+    const double seconds = since(start) / 1000;
+    std::size_t bytes = 0;
+    int complete = 0;
+    for (const auto& it : samples) {
+        bytes += it.bytes;
+        complete += it.is_complete ? 1 : 0;
+    }
+    std::printf("| %s | %d | %d | %.2f | %.0f | %.2f |\n", to.name.c_str(), options.streams,
+                complete, seconds, complete * options.stream_tokens / seconds,
+                (processor_ms(to.pid) - before) / 1000);
+    return complete == options.streams && bytes > 0;
+}
+
+} // namespace
+
+bool run_overhead(const overhead_options& options)
+{
+    std::vector<destination> targets{{"engine directly", options.engine, "", 0}};
+    for (std::size_t i = 0; i < options.entries.size(); ++i) {
+        const int pid = i < options.entry_pids.size() ? options.entry_pids[i] : 0;
+        targets.push_back({"entry " + std::to_string(i), options.entries[i], options.key, pid});
+    }
+    std::vector<series> results(targets.size());
+    asio::io_context io;
+    asio::co_spawn(io, alternate(targets, options, results), asio::detached);
+    io.run();
+    print_calls(targets, results, options.calls);
+    std::printf("\n| streams through | opened | complete | s | tokens/s | processor s |\n"
+                "| --- | --- | --- | --- | --- | --- |\n");
+    constexpr int numbers_apart = 100'000;
+    bool is_ok = true;
+    for (std::size_t n = 0; n < targets.size(); ++n) {
+        const int first = numbers_apart * static_cast<int>(n + 1);
+        is_ok = run_streams(targets[n], options, first) && is_ok;
+    }
+    for (const auto& it : results) {
+        is_ok = is_ok && it.failed == 0;
+    }
+    return is_ok;
+}
+
+} // namespace almondline::bench
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "bench/internal/overhead.h"
 #include "bench/internal/report.h"
 #include "bench/internal/slopes.h"
 
@@ -49,6 +50,37 @@
     return 0;
 }
 
+struct overhead_arguments {
+    overhead_options options;
+    std::string engine;
+    std::vector<std::string> entries;
+};
+
+void add_overhead_options(CLI::App& command, overhead_arguments& to)
+{
+    command.add_option("--engine", to.engine, "IP:PORT of the engine")->required();
+    command.add_option("--entry", to.entries, "IP:PORT of an entry instance; may be repeated");
+    command.add_option("--entry-pid", to.options.entry_pids, "process ids of the entry instances");
+    command.add_option("--key", to.options.key, "bearer key for the entry instances");
+    command.add_option("--model", to.options.model, "model to ask for");
+    command.add_option("--calls", to.options.calls, "calls of each kind");
+    command.add_option("--streams", to.options.streams, "streams open at the same time");
+}
+
+int run_overhead_command(overhead_arguments& arguments)
+{
+    bool is_valid = almondline::parse_endpoint(arguments.engine, arguments.options.engine);
+    for (const auto& it : arguments.entries) {
+        is_valid =
+            almondline::parse_endpoint(it, arguments.options.entries.emplace_back()) && is_valid;
+    }
+    if (!is_valid) {
+        std::fprintf(stderr, "an address is not of the form IP:PORT\n");
+        return 2;
+    }
+    return run_overhead(arguments.options) ? 0 : 1;
+}
+
 int run(int argc, char** argv)
 {
     CLI::App app{"Measurements of almondline"};
@@ -61,7 +93,14 @@
     CLI::App* slopes = app.add_subcommand("slopes", "processor time per operation by size");
     std::string slope_filter;
     slopes->add_option("--only", slope_filter, "run only slopes whose name contains this");
+    CLI::App* overhead =
+        app.add_subcommand("overhead", "compare calls through entry instances with direct calls");
+    overhead_arguments through;
+    add_overhead_options(*overhead, through);
     CLI11_PARSE(app, argc, argv);
+    if (overhead->parsed()) {
+        return run_overhead_command(through);
+    }
     if (policy->parsed()) {
         return run_policy(options);
     }
--- /dev/null
+++ b/tests/overhead.py
@@ -0,0 +1,56 @@
+"""Measures what an entry instance adds to a direct call of an engine, on loopback.
+
+Starts a platform, one fast engine and three entry instances, and runs `almondline-bench overhead`.
+One of the three grants the credits for the engine; the other two ask it over the network.
+"""
+
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from support import manifests  # noqa: E402
+from support.fleet import DOMAINS, Fleet, stop_on_signals  # noqa: E402
+from support.process import program  # noqa: E402
+
+# The engine answers at once, so that the difference between the calls is the entry instance's.
+FAST_ENGINE = ["--time-scale", "1000", "--max-waiting", "2000", "--tick-ms", "1"]
+ENGINE_CLASS = ("gen4", (32_000, 120, 10_000_000, 2000))
+STREAMS = 500
+MEMBERSHIP_SETTLES = 2.0  # s, until each instance knows the granter
+
+
+def make_manifest():
+    return manifests.make_manifest(name="overhead", max_waiting=2000, deadline_ms=60_000)
+
+
+def run():
+    stop_on_signals()
+    manifests.ENGINE_CLASSES[ENGINE_CLASS[0]] = ENGINE_CLASS[1]
+    with Fleet() as fleet:
+        fleet.start_platform()
+        engine = fleet.start_engine("engine-0", ENGINE_CLASS[0], DOMAINS[0], FAST_ENGINE)
+        for i in range(3):
+            fleet.start_entry(f"entry-{i}", DOMAINS[i])
+        published = fleet.publish(make_manifest(), 0)
+        if published.returncode != 0:
+            print(published.stdout + published.stderr, file=sys.stderr)
+            return 1
+        fleet.wait_ready()
+        time.sleep(MEMBERSHIP_SETTLES)
+        owners = [name for name in fleet.entries
+                  if any(it["pool"] == "assistant" for it in fleet.status(name)["pools"])]
+        print(f"granter of the engine: {', '.join(owners)}")
+        command = [program("almondline-bench", None), "overhead",
+                   "--engine", engine.address,
+                   "--key", manifests.account_key("north"), "--model", manifests.MODEL,
+                   "--streams", str(STREAMS)]
+        for entry in fleet.entries.values():
+            command += ["--entry", entry.address, "--entry-pid", str(entry.child.pid)]
+        return subprocess.run(command, check=False, timeout=300).returncode
+
+
+if __name__ == "__main__":
+    sys.exit(run())
