--- a/src/bench/internal/measure.cpp
+++ b/src/bench/internal/measure.cpp
@@ -112,6 +112,14 @@
                    flood_duration,
                    flood_from,
                    flood_duration});
+    // Callers keep to the address that they cached, so a burst may arrive at a single entry.
+    stream_spec at_one_entry = flood(10 * capacity, 0, seed + 5);
+    at_one_entry.entry = 1;
+    all.push_back({"flood-one-entry",
+                   {base_load(0.9 * capacity, seed), at_one_entry},
+                   flood_duration,
+                   flood_from,
+                   flood_duration});
     // The small accounts ask for a 21st of twice the capacity.
     const double small = 2 * capacity / 21;
     const stream_spec small_stream{small, {0, 1, 0}, {0, 0, 1, 1, 1}, 0, duration, seed + 3};
--- a/src/bench/internal/slopes.cpp
+++ b/src/bench/internal/slopes.cpp
@@ -19,7 +19,7 @@
 constexpr double most_accounts = 840;
 constexpr double longest_queue = 100'000;
 
-enum class operation { enqueue, pick, finish, shed };
+enum class operation { enqueue, pick, finish, shed, expire };
 
 scheduling::ask random_ask(std::mt19937_64& random, std::uint64_t number, int accounts)
 {
@@ -29,6 +29,7 @@
     made.kind = random() % 2 == 0 ? "draft" : "check";
     made.tier = static_cast<int>(random() % 5);
     made.cost = 1 + static_cast<double>(random() % 10'000);
+    made.deadline = manual_clock{}.now() + std::chrono::hours{1 + random() % 100};
     return made;
 }
 
@@ -52,6 +53,14 @@
         made.push_back(random_ask(random, number++, accounts));
     }
     const double start = processor_ns();
+    if (which == operation::expire) {
+        constexpr int calls = 50;
+        std::size_t removed = 0;
+        for (int i = 0; i < calls; ++i) {
+            removed += expire(queue, clock.now()).size();
+        }
+        return removed == 0 ? (processor_ns() - start) / calls : 0;
+    }
     for (scheduling::ask& each : made) {
         enqueue(queue, std::move(each), {1000, 0}, clock.now());
     }
@@ -73,14 +82,14 @@
     case operation::pick:
         return (all_picked - enqueued) / batch;
     case operation::finish:
+    case operation::expire:
         return (finished - all_picked) / batch;
     }
     return 0;
 }
 
-double measure_choose(int replicas)
+routing::replica_table make_table(int replicas, steady_time now)
 {
-    manual_clock clock;
     routing::replica_table table;
     for (int i = 0; i < replicas; ++i) {
         routing::replica_spec spec;
@@ -88,8 +97,37 @@
         spec.prefill_rate = 8000 * (1 + i % 4);
         spec.kv_tokens = 1e6;
         spec.max_in_flight = 64;
-        routing::update_replica(table, spec, clock.now());
+        routing::update_replica(table, spec, now);
+    }
+    return table;
+}
+
+/// A dispatch and its end, with a prompt of 64 blocks.
+double measure_dispatch(int replicas)
+{
+    manual_clock clock;
+    routing::replica_table table = make_table(replicas, clock.now());
+    routing::request_shape request;
+    request.prompt_tokens = 8000;
+    request.output_tokens = 200;
+    request.prefix_blocks.resize(64);
+    const double start = processor_ns();
+    for (int i = 0; i < batch; ++i) {
+        request.request_id = std::to_string(i);
+        for (std::size_t block = 0; block < request.prefix_blocks.size(); ++block) {
+            request.prefix_blocks[block] = static_cast<std::uint64_t>(i) * 1000 + block;
+        }
+        const auto& id = table.replicas[static_cast<std::size_t>(i % replicas)].spec.id;
+        routing::on_dispatch(table, id, request, clock.now());
+        routing::on_finish(table, id, request.request_id, {}, clock.now());
     }
+    return (processor_ns() - start) / batch;
+}
+
+double measure_choose(int replicas)
+{
+    manual_clock clock;
+    routing::replica_table table = make_table(replicas, clock.now());
     // The worst case for the lookups: every replica holds the whole prefix.
     routing::request_shape request;
     request.prompt_tokens = 8000;
@@ -116,7 +154,8 @@
     const std::pair<const char*, operation> operations[] = {{"enqueue", operation::enqueue},
                                                             {"enqueue-shedding", operation::shed},
                                                             {"pick", operation::pick},
-                                                            {"finish", operation::finish}};
+                                                            {"finish", operation::finish},
+                                                            {"expire", operation::expire}};
     for (const auto& [name, which] : operations) {
         all.push_back({name,
                        "accounts",
@@ -188,6 +227,12 @@
                    [](double n) { return measure_choose(static_cast<int>(n)); },
                    10'000,
                    64});
+    all.push_back({"dispatch-finish",
+                   "replicas",
+                   {4, 16, 64, 256},
+                   [](double n) { return measure_dispatch(static_cast<int>(n)); },
+                   0,
+                   0});
     return all;
 }
 
--- a/src/bench/internal/workload.cpp
+++ b/src/bench/internal/workload.cpp
@@ -46,6 +46,9 @@
     made.id = std::to_string(spec_.seed) + "-" + std::to_string(count_);
     made.arrived = time_;
     made.entry = static_cast<int>(random_() % static_cast<std::uint64_t>(entries_));
+    if (spec_.entry >= 0) {
+        made.entry = spec_.entry;
+    }
     made.tier = std::discrete_distribution<int>(spec_.tier_shares.begin(),
                                                 spec_.tier_shares.end())(random_);
     made.account = std::discrete_distribution<int>(spec_.account_shares.begin(),
--- a/src/bench/internal/workload.h
+++ b/src/bench/internal/workload.h
@@ -43,6 +43,7 @@
     double from = 0;                    ///< s
     double to = 0;                      ///< s
     std::uint64_t seed = 1;
+    int entry = -1; ///< that its callers have cached, -1: spread over all
 };
 
 class request_source {
--- a/src/scheduling/internal/order.cpp
+++ b/src/scheduling/internal/order.cpp
@@ -112,11 +112,17 @@
 
 } // namespace
 
+const std::string& kind_key(const queue_config& config, const std::string& kind)
+{
+    static const std::string other;
+    return config.kinds.contains(kind) ? kind : other;
+}
+
 flow& find_flow(queue_state& queue, int tier, const std::string& kind, const std::string& account)
 {
     const int last = static_cast<int>(queue.tiers.size()) - 1;
     tier_queue& in = queue.tiers[static_cast<std::size_t>(std::clamp(tier, 0, last))];
-    kind_queue& parent = find_kind(queue, in, kind);
+    kind_queue& parent = find_kind(queue, in, kind_key(queue.config, kind));
     const auto [it, is_new] = parent.flows.try_emplace(account);
     flow& found = it->second;
     if (is_new) {
--- a/src/scheduling/internal/order.h
+++ b/src/scheduling/internal/order.h
@@ -6,6 +6,10 @@
 /// number of accounts and waiting asks.
 namespace almondline::scheduling {
 
+/// Name under which a kind is kept. All kinds that the configuration does not name share one,
+/// because callers may send any text.
+const std::string& kind_key(const queue_config& config, const std::string& kind);
+
 /// The flow of an ask, created if needed. A tier out of range counts as the nearest one.
 flow& find_flow(queue_state& queue, int tier, const std::string& kind, const std::string& account);
 
--- a/src/scheduling/queue.cpp
+++ b/src/scheduling/queue.cpp
@@ -363,7 +363,7 @@
         queue.tiers.begin(), queue.tiers.begin() + tier.rank + 1, [&](const tier_queue& each) {
             return is_recent(each.last_prompt_arrival, queue.config, now);
         });
-    const auto kind = tier.kinds.find(what.kind);
+    const auto kind = tier.kinds.find(kind_key(queue.config, what.kind));
     if (!is_needed || kind == tier.kinds.end()) {
         return true;
     }
--- a/src/scheduling/tests/shedding_test.cpp
+++ b/src/scheduling/tests/shedding_test.cpp
@@ -105,6 +105,19 @@
     CHECK(expire(queue, clock.now()).size() == 1);
 }
 
+TEST_CASE("kinds that no manifest names do not grow the queue's state")
+{
+    manual_clock clock;
+    queue_state queue = make_queue(three_tiers(10));
+    for (int i = 0; i < 100; ++i) {
+        enqueue(queue, make_ask("r", 0, "a", 1, "kind" + std::to_string(i)), {1, 1}, clock.now());
+        REQUIRE(pick(queue, {1, 1}, clock.now()));
+        finish(queue, "r", 1, clock.now());
+    }
+    CHECK(queue.tiers[0].kinds.size() == 1);
+    CHECK(queue.kind_floors.size() == 2);
+}
+
 TEST_CASE("random operations never invert shedding and leave no trace when drained")
 {
     std::mt19937 random{7};
