Measure the whole routing decision; drop an index of waiting asks

Cause: the target is for a decision, but only its parts were measured, and the queue lengths compared unlike work: short queues left most flows empty.

--- a/src/bench/internal/slopes.h
+++ b/src/bench/internal/slopes.h
@@ -23,6 +23,7 @@
     std::function<double(double size)> measure; ///< ns per operation
     double limit_ns = 0;                        ///< target at limit_size, 0: none
     double limit_size = 0;
+    bool grows_as_log = false; ///< target: no faster than the logarithm of the size
 };
 
 std::vector<slope> all_slopes();
--- a/src/scheduling/internal/order.cpp
+++ b/src/scheduling/internal/order.cpp
@@ -154,7 +154,6 @@
                                                         : what.deadline - what.estimated_service;
     entry.queued_before = sharing.cost_entered;
     entry.what = std::move(what);
-    queue.by_sequence.emplace(sequence, &entry);
     if (to.asks.empty()) {
         to.waiting_since = now;
     }
@@ -166,7 +165,7 @@
     sharing.waiting_cost += cost;
     sharing.cost_entered += cost;
     update_load(tier, sharing);
-    tier.by_latest_start.emplace(entry.latest_start, sequence);
+    tier.by_latest_start.emplace(entry.latest_start, sequence, &entry);
     tier.waiting += 1;
     tier.waiting_cost += cost;
     to.account->waiting += 1;
@@ -200,9 +199,8 @@
     if (sharing.asks.empty()) {
         tier.active_weight = tier.waiting == 0 ? 0 : tier.active_weight - of.account->weight;
     }
-    tier.by_latest_start.erase({entry.latest_start, entry.sequence});
+    tier.by_latest_start.erase({entry.latest_start, entry.sequence, &entry});
     of.account->waiting -= 1;
-    queue.by_sequence.erase(entry.sequence);
     ask what = std::move(entry.what);
     queue.waiting.erase(what.request_id);
     return what;
--- a/src/scheduling/queue.cpp
+++ b/src/scheduling/queue.cpp
@@ -189,8 +189,9 @@
                              running_record{&to, record.cost, record.picked, record.is_restored});
     }
     std::vector<waiting_ask*> entries;
-    for (const auto& [sequence, entry] : queue.by_sequence) {
-        entries.push_back(entry);
+    entries.reserve(queue.waiting.size());
+    for (auto& [id, entry] : queue.waiting) {
+        entries.push_back(&entry);
     }
     std::sort(entries.begin(), entries.end(),
               [](const auto* a, const auto* b) { return a->sequence < b->sequence; });
@@ -335,8 +336,8 @@
     for (auto tier = queue.tiers.rbegin(); tier != queue.tiers.rend(); ++tier) {
         int checked = 0;
         auto it = tier->by_latest_start.begin();
-        while (it != tier->by_latest_start.end() && it->first != steady_time::max()) {
-            waiting_ask& entry = *queue.by_sequence.at(it->second);
+        while (it != tier->by_latest_start.end() && std::get<0>(*it) != steady_time::max()) {
+            waiting_ask& entry = *std::get<2>(*it);
             ++it;
             const double left = seconds_until(now, entry.latest_start);
             const tier_account& own = *entry.in->sharing;
--- a/src/scheduling/types/queue_state.h
+++ b/src/scheduling/types/queue_state.h
@@ -108,7 +108,7 @@
     ordered_index<kind_queue> order; ///< active kinds by start tag
     std::map<std::string, tier_account, std::less<>> accounts;
     ordered_index<tier_account> by_load; ///< accounts with waiting asks, by cost over weight
-    std::set<std::pair<steady_time, std::uint64_t>> by_latest_start; ///< with the sequence
+    std::set<std::tuple<steady_time, std::uint64_t, waiting_ask*>> by_latest_start;
     std::size_t waiting = 0;
     double waiting_cost = 0;
     steady_time last_prompt_arrival{}; ///< of an account without a backlog
@@ -137,8 +137,7 @@
     std::vector<tier_queue> tiers; ///< never resized after make_queue()
     std::map<std::string, floor_state, std::less<>> kind_floors;
     std::unordered_map<std::string, account_state> accounts;
-    std::unordered_map<std::string, waiting_ask> waiting; ///< by request id
-    std::unordered_map<std::uint64_t, waiting_ask*> by_sequence;
+    std::unordered_map<std::string, waiting_ask> waiting;    ///< by request id
     std::unordered_map<std::string, running_record> running; ///< by request id
     std::uint64_t next_sequence = 1ULL << 32U;
     std::uint64_t front_sequence = 1ULL << 32U; ///< counts down, for asks put back
