--- a/tests/faults/load.py
+++ b/tests/faults/load.py
@@ -124,7 +124,7 @@
 
 
 class Load:
-    """Threads that send one call after the other until they are stopped or have sent their share."""
+    """Threads that send one call after the other, until stopped or until their share is sent."""
 
     def __init__(self, book, seed):
         self.book = book
--- a/tests/support/chat.py
+++ b/tests/support/chat.py
@@ -45,7 +45,7 @@
 
 
 def read_stream(body):
-    """Returns the text of a stream, whether it has its end mark, and whether it reports an error."""
+    """Returns the text of a stream, whether it has its end mark, and whether it has an error."""
     text, has_end, has_error = "", False, False
     for name, data in read_events(body):
         if data == "[DONE]":
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -97,7 +97,7 @@
     def _entry_settings(self, name, domain, listen, peer_listen, drain_grace):
         return "\n".join([
             "[entry]", f"instance_id = {name}", f"failure_domain = {domain}",
-            f"listen = {listen}", f"peer_listen = {peer_listen}", "traffic_threads = 1",
+            f"listen = {listen}", f"peer_listen = {peer_listen}", "traffic_threads = 2",
             f"operator_key_hash = {sha256(manifests.OPERATOR_KEY)}", "drain_limit = 30s",
             f"drain_grace = {drain_grace}",
             "[store]", f"addresses = {self.platform.address}", "timeout = 2s",
@@ -162,8 +162,9 @@
     def wait_ready(self, names=None, seconds=15.0):
         for name in names or list(self.entries):
             entry = self.entries[name]
+            address = entry.address
             entry.wait_until(
-                lambda e=entry: http_client.call(e.address, "GET", "/readyz").status == 200, seconds)
+                lambda a=address: http_client.call(a, "GET", "/readyz").status == 200, seconds)
 
     def journal_path(self, name):
         return self.directory / f"{name}.journal"
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -1,4 +1,4 @@
-"""Starts and stops single processes. Only processes started here are ever signalled, by their id."""
+"""Starts and stops single processes. Only those started here are signalled, by their id."""
 
 import os
 import signal
@@ -49,7 +49,8 @@
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             if not self.is_running():
-                raise StartError(f"{self.name} ended with {self.child.returncode}: {self.log_end()}")
+                code = self.child.returncode
+                raise StartError(f"{self.name} ended with {code}: {self.log_end()}")
             value = is_ready()
             if value:
                 return value
