Apply a changed KV capacity to known replicas

Cause: update_replica took kv_tokens only together with a new class or new rates, so a manifest that changed it alone had no effect until the engine's next load report. A new process at another address also kept the capacity that the previous process had reported. Ruled out: always taking the specified value, which would replace a reported one until the next report; a reported capacity now stays until the class, the rates or the address change. Before: the new test read 100000 instead of 2000 and 5000 instead of 3000. After: it passes.

--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -153,6 +153,7 @@
         // Another process, with an empty cache.
         forget_all_blocks(table, index_of(table, *known));
         known->is_leaving = false;
+        known->is_kv_reported = false;
     }
     known->spec = spec;
     known->class_index = find_class(table, spec.engine_class, spec.decode_rate);
@@ -163,6 +164,9 @@
     if (is_new_class) {
         known->prefill_rate = known->spec.prefill_rate;
         known->decode_rate = known->spec.decode_rate;
+        known->is_kv_reported = false;
+    }
+    if (!known->is_kv_reported) {
         known->kv_capacity = spec.kv_tokens;
     }
 }
@@ -310,6 +314,7 @@
         std::max(0, report.running + report.waiting - own_in_flight_at(*of, taken));
     if (report.kv_capacity_tokens > 0) {
         of->kv_capacity = report.kv_capacity_tokens;
+        of->is_kv_reported = true;
     }
 }
 
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -265,3 +265,24 @@
     const auto result = choose(f.table, make_request("x"), f.clock.now());
     CHECK(result->reason.find("lowest score") == 0);
 }
+
+TEST_CASE("a changed KV capacity of a known replica takes effect unless its engine reported one")
+{
+    fixture f{make_spec("a")};
+    auto spec = make_spec("a");
+    spec.kv_tokens = 2'000;
+    update_replica(f.table, spec, f.clock.now());
+    CHECK(f.table.replicas[0].kv_capacity == 2'000);
+
+    load_report report;
+    report.kv_capacity_tokens = 5'000;
+    on_load_report(f.table, "a", report, f.clock.now());
+    spec.kv_tokens = 3'000;
+    update_replica(f.table, spec, f.clock.now());
+    CHECK(f.table.replicas[0].kv_capacity == 5'000);
+
+    // Another process at a new address has not reported anything yet.
+    spec.address = "10.0.0.2:80";
+    update_replica(f.table, spec, f.clock.now());
+    CHECK(f.table.replicas[0].kv_capacity == 3'000);
+}
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -65,7 +65,8 @@
     double prefill_rate = 0; ///< learned, tokens per second
     double decode_rate = 0;  ///< learned, tokens per second of a stream that runs alone
     double kv_capacity = 0;  ///< tokens, as reported or else as specified; 0: not limited
-    int in_flight = 0;       ///< own work, known at once
+    bool is_kv_reported = false;
+    int in_flight = 0;             ///< own work, known at once
     double kv_tokens_used = 0;     ///< reserved by own work
     steady_time prefill_free_at{}; ///< when the prefill of own work is expected to be done
     std::unordered_map<std::string, dispatched_work> work; ///< by request id
