Pass the owning pointer to the coroutines of the HTTP server

Cause: the coroutines took shared_from_this only after their start. Ruled out: the suspected use after free could not be reproduced. Conclusion: correct so far only because of the order within Asio. The owning pointer is now a parameter, as in the peer module; the test of all steps stays as a guard.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -196,15 +196,17 @@
 
 } // namespace
 
-struct http_server::state : std::enable_shared_from_this<state> {
+struct http_server::state {
     state(asio::io_context& context, http_server_limits server_limits, http_handler request_handler)
         : io{context}, acceptor{asio::make_strand(context)}, limits{server_limits},
           handler{std::move(request_handler)}
     {
     }
 
-    asio::awaitable<void> accept_loop();
-    asio::awaitable<void> serve(tcp::socket socket);
+    // The coroutines take the owning pointer as a parameter: a member function's frame holds only
+    // `this`, and a spawned coroutine starts after the server may have been destroyed.
+    asio::awaitable<void> accept_loop(std::shared_ptr<state> self);
+    asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket socket);
     asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buf);
 
     asio::io_context& io;
@@ -216,9 +218,8 @@
     std::atomic<std::size_t> requests{0};
 };
 
-asio::awaitable<void> http_server::state::accept_loop()
+asio::awaitable<void> http_server::state::accept_loop(std::shared_ptr<state> self)
 {
-    const auto self = shared_from_this();
     while (!is_stopping) {
         auto [ec, socket] = co_await acceptor.async_accept(asio::make_strand(io), use_tuple);
         if (ec == asio::error::operation_aborted) {
@@ -236,7 +237,7 @@
         }
         ++connections;
         const auto executor = socket.get_executor();
-        asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+        asio::co_spawn(executor, serve(self, std::move(socket)), asio::detached);
     }
 }
 
@@ -285,9 +286,8 @@
     co_return current.can_continue();
 }
 
-asio::awaitable<void> http_server::state::serve(tcp::socket socket)
+asio::awaitable<void> http_server::state::serve(std::shared_ptr<state> /*self*/, tcp::socket socket)
 {
-    const auto self = shared_from_this();
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay{true}, ec);
     beast::tcp_stream stream{std::move(socket)};
@@ -309,7 +309,7 @@
     state_->acceptor.set_option(tcp::acceptor::reuse_address{true});
     state_->acceptor.bind(endpoint);
     state_->acceptor.listen();
-    asio::co_spawn(state_->acceptor.get_executor(), state_->accept_loop(), asio::detached);
+    asio::co_spawn(state_->acceptor.get_executor(), state_->accept_loop(state_), asio::detached);
 }
 
 http_server::~http_server()
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -109,3 +109,24 @@
     CHECK(query_parameter("/a?xname=1", "name").empty());
     CHECK(percent_decode(percent_encode("a/b c%")) == "a/b c%");
 }
+
+TEST_CASE("the server may be destroyed between any two steps of accepting a connection")
+{
+    // Guards against a coroutine that was spawned, but starts after the server's state is gone.
+    constexpr int steps_of_accepting = 12;
+    for (int steps = 0; steps <= steps_of_accepting; ++steps) {
+        CAPTURE(steps);
+        asio::io_context io;
+        auto server = std::make_unique<http_server>(io, endpoint_text{"127.0.0.1", 0},
+                                                    http_server_limits{}, echo);
+        asio::ip::tcp::socket caller{io};
+        caller.connect({asio::ip::make_address("127.0.0.1"), server->port()});
+        for (int i = 0; i < steps; ++i) {
+            io.poll_one();
+        }
+        server.reset();
+        caller.close();
+        io.run();
+        CHECK(io.stopped());
+    }
+}
