Keep headroom for small accounts in the running granter, for others only

Cause: the policy measured in virtual time keeps slots of the fastest replicas for accounts without a backlog, but the granter did not pass the rule on, so a small account waited behind a large one's backlog. Passing it on made a single account hold slots back from itself for 5 s, and in a pool of two replicas half of all slots. Before: granter_test "a backlog of a large account leaves slots" fails; message_loss_test fails in 9 rows once the rule is passed on. After: both pass (20 cases). Conclusion: headroom is for other accounts than the one that waits, in at most 40 in 100 of the slots.

--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -37,7 +37,10 @@
 scheduling::slot_view granter_core::slots_at(steady_time now) const
 {
     const auto counts = routing::count_slots(table, now);
-    return {counts.total, now < grants_from_ ? 0 : counts.free};
+    if (now < grants_from_) {
+        return {counts.total, 0, 0};
+    }
+    return {counts.total, counts.free, counts.free_headroom};
 }
 
 void granter_core::flush()
@@ -66,7 +69,8 @@
         if (!next) {
             break;
         }
-        const auto shape = make_shape(*next, lookup_ ? lookup_(next->holder) : std::string{});
+        auto shape = make_shape(*next, lookup_ ? lookup_(next->holder) : std::string{});
+        shape.leaves_headroom = !scheduling::may_use_headroom(queue, *next, now);
         const auto chosen = routing::choose(table, shape, now);
         if (chosen) {
             issue(*next, shape, *chosen, now);
--- a/src/granting/tests/granter_test.cpp
+++ b/src/granting/tests/granter_test.cpp
@@ -214,3 +214,24 @@
     CHECK(what.deadline > clock.now());
     CHECK(what.estimated_service == 0ms);
 }
+
+TEST_CASE("a backlog of a large account leaves slots of the fastest replica to a small account")
+{
+    cluster c{2};
+    auto& granter = c.start_granter("e1", 5, 4);
+    auto spec = granter.replicas().replicas[4].spec;
+    spec.prefill_rate *= 4;
+    spec.decode_rate *= 4;
+    routing::update_replica(granter.replicas(), spec, c.clock.now());
+    c.run_for(400ms);
+    c.ask("e2", "small-1", 1, 100ms, 60s, "small");
+    c.run_for(200ms);
+    for (int i = 0; i < 80; ++i) {
+        c.ask("e2", "large-" + std::to_string(i), 1, 1s, 60s, "large");
+    }
+    c.run_for(1500ms);
+    c.ask("e2", "small-2", 1, 100ms, 60s, "small");
+    c.run_for(100ms);
+    CHECK(c.records["small-2"].code == "granted");
+    CHECK(c.running.size() >= 16); // the backlog gets all but the headroom
+}
--- a/src/granting/tests/granting_fixture.h
+++ b/src/granting/tests/granting_fixture.h
@@ -134,11 +134,12 @@
 
     /// Asks at an instance; a granted request is dispatched at once and runs for service.
     void ask(const std::string& holder, const std::string& id, int tier = 1,
-             milliseconds service = 1s, milliseconds deadline = 60s)
+             milliseconds service = 1s, milliseconds deadline = 60s,
+             const std::string& account = "a1")
     {
         scheduling::ask what;
         what.request_id = id;
-        what.account = "a1";
+        what.account = account;
         what.kind = "draft";
         what.tier = tier;
         what.prompt_tokens = 10;
--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -102,7 +102,8 @@
     learn_class(table.classes[of.class_index], alone);
 }
 
-/// Marks the fastest replicas whose slots make up the share for headroom.
+/// Marks the fastest replicas whose slots make up the share for headroom, rounded up to whole
+/// replicas. A pool too small for that has none: one replica of two would be half of it.
 void mark_headroom(replica_table& table)
 {
     std::vector<replica*> present;
@@ -119,8 +120,9 @@
     });
     int kept = 0;
     for (replica* each : present) {
-        // A pool of one replica has none to spare.
-        if (kept >= table.config.headroom_share * all || each == present.back()) {
+        const int kept_with_it = kept + each->spec.max_in_flight;
+        if (kept >= table.config.headroom_share * all ||
+            kept_with_it > table.config.max_headroom_share * all) {
             return;
         }
         each->keeps_headroom = true;
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -118,7 +118,8 @@
     /// while these have demand. On a full replica a prompt takes several times as long as on an
     /// idle one, whatever the order in the queue.
     double headroom_share = 0.15;
-    double kv_headroom = 0.95; ///< share of the KV capacity that is filled
+    double max_headroom_share = 0.4; ///< after rounding up to whole replicas
+    double kv_headroom = 0.95;       ///< share of the KV capacity that is filled
     /// Slowdown of each stream when max_in_flight streams run, over one that runs alone.
     double batch_slowdown = 1.0;
     /// Weight of decode time in a score, against time to the first token. At equal weight the fast
--- a/src/scheduling/queue.cpp
+++ b/src/scheduling/queue.cpp
@@ -137,14 +137,37 @@
     return when != steady_time{} && now - when <= config.demand_window;
 }
 
+void note_prompt_arrival(prompt_demand& demand, const account_state* account, steady_time now)
+{
+    if (demand.account != account) {
+        demand.last_of_others = demand.last;
+        demand.account = account;
+    }
+    demand.last = now;
+}
+
+/// True if another account than this one has shown demand without a backlog, in the tier of this
+/// rank or a more urgent one. An account's own arrivals must not hold slots back from it.
+bool is_headroom_needed(const queue_state& queue, int rank, const account_state* account,
+                        steady_time now)
+{
+    const auto end = queue.tiers.begin() + rank + 1;
+    return std::any_of(queue.tiers.begin(), end, [&](const tier_queue& each) {
+        const bool is_other = each.prompt.account != account;
+        const auto when = is_other ? each.prompt.last : each.prompt.last_of_others;
+        return is_recent(when, queue.config, now);
+    });
+}
+
 /// Next ask if only headroom is free. A backlog gets it only while nobody else of its own or a more
 /// urgent tier has demand.
 waiting_ask* find_next_in_headroom(queue_state& queue, steady_time now)
 {
-    bool is_needed = false;
     for (tier_queue& tier : queue.tiers) {
-        is_needed = is_needed || is_recent(tier.last_prompt_arrival, queue.config, now);
-        waiting_ask* head = is_needed ? head_without_backlog(queue, tier, now) : head_of(tier);
+        waiting_ask* head = head_of(tier);
+        if (head != nullptr && is_headroom_needed(queue, tier.rank, head->in->account, now)) {
+            head = head_without_backlog(queue, tier, now);
+        }
         if (head != nullptr) {
             return head;
         }
@@ -244,7 +267,7 @@
     const std::string id = what.request_id;
     const double cost = what.cost;
     if (!has_backlog(queue, to, now)) {
-        tier.last_prompt_arrival = now;
+        note_prompt_arrival(tier.prompt, to.account, now);
     }
     insert_waiting(queue, to, std::move(what), queue.next_sequence++, now);
     if (!starts_now) {
@@ -360,16 +383,13 @@
 {
     const int last = static_cast<int>(queue.tiers.size()) - 1;
     const tier_queue& tier = queue.tiers[static_cast<std::size_t>(std::clamp(what.tier, 0, last))];
-    const bool is_needed = std::any_of(
-        queue.tiers.begin(), queue.tiers.begin() + tier.rank + 1, [&](const tier_queue& each) {
-            return is_recent(each.last_prompt_arrival, queue.config, now);
-        });
     const auto kind = tier.kinds.find(kind_key(queue.config, what.kind));
-    if (!is_needed || kind == tier.kinds.end()) {
+    if (kind == tier.kinds.end()) {
         return true;
     }
     const auto of = kind->second.flows.find(what.account);
-    return of == kind->second.flows.end() || !has_backlog(queue, of->second, now);
+    return of == kind->second.flows.end() || !has_backlog(queue, of->second, now) ||
+           !is_headroom_needed(queue, tier.rank, of->second.account, now);
 }
 
 bool is_waiting(const queue_state& queue, const std::string& request_id)
--- a/src/scheduling/types/queue_state.h
+++ b/src/scheduling/types/queue_state.h
@@ -99,6 +99,13 @@
     std::map<std::uint64_t, waiting_ask*> asks; ///< by sequence
 };
 
+/// Latest arrivals of accounts without a backlog: of one account, and of all others.
+struct prompt_demand {
+    steady_time last{};
+    const account_state* account = nullptr; ///< of the last one; for comparison only
+    steady_time last_of_others{};
+};
+
 struct tier_queue {
     int rank = 0;
     std::string name;
@@ -111,9 +118,9 @@
     std::set<std::tuple<steady_time, std::uint64_t, waiting_ask*>> by_latest_start;
     std::size_t waiting = 0;
     double waiting_cost = 0;
-    steady_time last_prompt_arrival{}; ///< of an account without a backlog
-    double active_weight = 0;          ///< sum over accounts with waiting asks
-    decaying_rate arrivals{};          ///< cost per second, refused asks excluded
+    prompt_demand prompt;
+    double active_weight = 0; ///< sum over accounts with waiting asks
+    decaying_rate arrivals{}; ///< cost per second, refused asks excluded
 };
 
 /// An ask between pick() and finish().
