Retest suspects one by one while many are suspect

Silence before a refutation is forgotten with it; that alone: no change. Conclusion: better, not clean. The false deaths end by refutation; state_of says gone meanwhile.

--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -223,6 +223,8 @@
     }
     else {
         suspects_.erase(id);
+        // Silence before a refutation proves nothing after it.
+        target.unanswered_since.reset();
     }
     if (status == member_status::dead) {
         ++deaths_;
--- a/src/membership/probing.cpp
+++ b/src/membership/probing.cpp
@@ -13,6 +13,7 @@
 constexpr std::chrono::milliseconds request_lifetime{2000};
 // Suspicions are passed on for this long at most.
 constexpr std::chrono::seconds held_gossip{15};
+constexpr std::size_t mass_suspicion = 8;
 constexpr std::size_t max_watched = 32;
 constexpr std::size_t max_relays = 256;
 constexpr int probes_before_suspicion = 3;
@@ -224,6 +225,8 @@
         if (now - suspect.since < config_.dead_after) {
             continue;
         }
+        // With many suspects the refutations queue up and arrive late.
+        suspect.is_held = suspect.is_held || suspects_.size() > mass_suspicion;
         if (!may_declare_dead(suspect, now)) {
             suspect.is_held = true;
             continue;
