--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -65,6 +65,7 @@
     double prefill_rate = 0; ///< learned, tokens per second
     double decode_rate = 0;  ///< learned, tokens per second of a stream that runs alone
     double kv_capacity = 0;  ///< tokens, as reported or else as specified; 0: not limited
+    bool keeps_headroom = false; ///< one of the fastest, see routing_config::headroom_share
     bool is_kv_reported = false;
     int in_flight = 0;             ///< own work, known at once
     double kv_tokens_used = 0;     ///< reserved by own work
@@ -110,15 +111,19 @@
     std::chrono::milliseconds max_prefill_wait{0};
     /// Share of max_in_flight above the mean share of all replicas at which a prefix hit no longer
     /// counts.
-    double affinity_slack = 0.25;
+    double affinity_slack = 0.5;
     /// Tokens in a prefix block, 0: prompt tokens divided by the number of blocks.
     double block_tokens = 0;
+    /// Share of all slots, on the fastest replicas, that accounts with a backlog leave to others
+    /// while these have demand. On a full replica a prompt takes several times as long as on an
+    /// idle one, whatever the order in the queue.
+    double headroom_share = 0.15;
     double kv_headroom = 0.95; ///< share of the KV capacity that is filled
     /// Slowdown of each stream when max_in_flight streams run, over one that runs alone.
     double batch_slowdown = 1.0;
     /// Weight of decode time in a score, against time to the first token. At equal weight the fast
     /// replicas collect prompts until the wait for the first token outweighs a long output.
-    double decode_weight = 0.05;
+    double decode_weight = 0.02;
     double learning_rate = 0.2;            ///< weight of one observation of speed
     std::size_t max_known_blocks = 20'000; ///< per replica
     std::size_t max_blocks_per_prompt = 256;
--- a/src/scheduling/internal/order.cpp
+++ b/src/scheduling/internal/order.cpp
@@ -29,11 +29,23 @@
     }
 }
 
+/// Moves an active flow to another start tag.
+void move_flow(flow& of, double start)
+{
+    kind_queue& kind = *of.parent;
+    const bool is_prompt = kind.prompt.erase({of.start, of.number, &of}) > 0;
+    index_start(kind.order, of, start);
+    if (is_prompt) {
+        kind.prompt.insert({start, of.number, &of});
+    }
+}
+
 void activate(flow& of)
 {
     kind_queue& kind = *of.parent;
     if (!of.is_active) {
         index_start(kind.order, of, std::max(kind.virtual_time, of.finish));
+        kind.prompt.insert({of.start, of.number, &of});
     }
     if (!kind.is_active) {
         index_start(kind.parent->order, kind, std::max(kind.parent->virtual_time, kind.finish));
@@ -43,6 +55,7 @@
 void deactivate(flow& of)
 {
     kind_queue& kind = *of.parent;
+    kind.prompt.erase({of.start, of.number, &of});
     unindex_start(kind.order, of);
     if (kind.order.empty()) {
         unindex_start(kind.parent->order, kind);
@@ -99,11 +112,17 @@
 
 } // namespace
 
+const std::string& kind_key(const queue_config& config, const std::string& kind)
+{
+    static const std::string other;
+    return config.kinds.contains(kind) ? kind : other;
+}
+
 flow& find_flow(queue_state& queue, int tier, const std::string& kind, const std::string& account)
 {
     const int last = static_cast<int>(queue.tiers.size()) - 1;
     tier_queue& in = queue.tiers[static_cast<std::size_t>(std::clamp(tier, 0, last))];
-    kind_queue& parent = find_kind(queue, in, kind);
+    kind_queue& parent = find_kind(queue, in, kind_key(queue.config, kind));
     const auto [it, is_new] = parent.flows.try_emplace(account);
     flow& found = it->second;
     if (is_new) {
@@ -121,7 +140,8 @@
     return found;
 }
 
-waiting_ask& insert_waiting(queue_state& queue, flow& to, ask what, std::uint64_t sequence)
+waiting_ask& insert_waiting(queue_state& queue, flow& to, ask what, std::uint64_t sequence,
+                            steady_time now)
 {
     const auto [it, is_new] = queue.waiting.try_emplace(what.request_id);
     waiting_ask& entry = it->second;
@@ -134,7 +154,9 @@
                                                         : what.deadline - what.estimated_service;
     entry.queued_before = sharing.cost_entered;
     entry.what = std::move(what);
-    queue.by_sequence.emplace(sequence, &entry);
+    if (to.asks.empty()) {
+        to.waiting_since = now;
+    }
     to.asks.emplace(sequence, &entry);
     if (sharing.asks.empty()) {
         tier.active_weight += to.account->weight;
@@ -143,7 +165,7 @@
     sharing.waiting_cost += cost;
     sharing.cost_entered += cost;
     update_load(tier, sharing);
-    tier.by_latest_start.emplace(entry.latest_start, sequence);
+    tier.by_latest_start.emplace(entry.latest_start, sequence, &entry);
     tier.waiting += 1;
     tier.waiting_cost += cost;
     to.account->waiting += 1;
@@ -177,9 +199,8 @@
     if (sharing.asks.empty()) {
         tier.active_weight = tier.waiting == 0 ? 0 : tier.active_weight - of.account->weight;
     }
-    tier.by_latest_start.erase({entry.latest_start, entry.sequence});
+    tier.by_latest_start.erase({entry.latest_start, entry.sequence, &entry});
     of.account->waiting -= 1;
-    queue.by_sequence.erase(entry.sequence);
     ask what = std::move(entry.what);
     queue.waiting.erase(what.request_id);
     return what;
@@ -198,6 +219,25 @@
     return std::get<2>(*kind.order.begin())->asks.begin()->second;
 }
 
+bool has_backlog(const queue_state& queue, const flow& of, steady_time now)
+{
+    return !of.asks.empty() && now - of.waiting_since > queue.config.backlog_after;
+}
+
+waiting_ask* head_without_backlog(const queue_state& queue, tier_queue& tier, steady_time now)
+{
+    for (const auto& [start, number, kind] : tier.order) {
+        while (!kind->prompt.empty()) {
+            flow* first = std::get<2>(*kind->prompt.begin());
+            if (!has_backlog(queue, *first, now)) {
+                return first->asks.begin()->second;
+            }
+            kind->prompt.erase(kind->prompt.begin());
+        }
+    }
+    return nullptr;
+}
+
 void charge_pick(flow& of, double cost)
 {
     kind_queue& kind = *of.parent;
@@ -207,7 +247,7 @@
     kind.finish = kind.start + cost / kind.weight;
     of.finish = of.start + cost / of.account->weight;
     index_start(tier.order, kind, kind.finish);
-    index_start(kind.order, of, of.finish);
+    move_flow(of, of.finish);
 }
 
 void charge_correction(flow& of, double difference)
@@ -216,7 +256,7 @@
     of.finish += difference / of.account->weight;
     kind.finish += difference / kind.weight;
     if (of.is_active) {
-        index_start(kind.order, of, of.start + difference / of.account->weight);
+        move_flow(of, of.start + difference / of.account->weight);
     }
     if (kind.is_active) {
         index_start(kind.parent->order, kind, kind.start + difference / kind.weight);
--- a/src/scheduling/types/queue_state.h
+++ b/src/scheduling/types/queue_state.h
@@ -68,6 +68,7 @@
     double start = 0;
     double finish = 0;
     bool is_active = false;
+    steady_time waiting_since{}; ///< its asks wait without a break
 };
 
 /// Flows of one kind in one tier.
@@ -83,6 +84,7 @@
     bool is_active = false;
     std::map<std::string, flow, std::less<>> flows; ///< by account
     ordered_index<flow> order;                      ///< active flows by start tag
+    ordered_index<flow> prompt; ///< of these, flows that may still have no backlog
 };
 
 /// What one account has in one tier, over all kinds. Decides who is shed.
@@ -106,11 +108,12 @@
     ordered_index<kind_queue> order; ///< active kinds by start tag
     std::map<std::string, tier_account, std::less<>> accounts;
     ordered_index<tier_account> by_load; ///< accounts with waiting asks, by cost over weight
-    std::set<std::pair<steady_time, std::uint64_t>> by_latest_start; ///< with the sequence
+    std::set<std::tuple<steady_time, std::uint64_t, waiting_ask*>> by_latest_start;
     std::size_t waiting = 0;
     double waiting_cost = 0;
-    double active_weight = 0; ///< sum over accounts with waiting asks
-    decaying_rate arrivals{}; ///< cost per second, refused asks excluded
+    steady_time last_prompt_arrival{}; ///< of an account without a backlog
+    double active_weight = 0;          ///< sum over accounts with waiting asks
+    decaying_rate arrivals{};          ///< cost per second, refused asks excluded
 };
 
 /// An ask between pick() and finish().
@@ -134,8 +137,7 @@
     std::vector<tier_queue> tiers; ///< never resized after make_queue()
     std::map<std::string, floor_state, std::less<>> kind_floors;
     std::unordered_map<std::string, account_state> accounts;
-    std::unordered_map<std::string, waiting_ask> waiting; ///< by request id
-    std::unordered_map<std::uint64_t, waiting_ask*> by_sequence;
+    std::unordered_map<std::string, waiting_ask> waiting;    ///< by request id
     std::unordered_map<std::string, running_record> running; ///< by request id
     std::uint64_t next_sequence = 1ULL << 32U;
     std::uint64_t front_sequence = 1ULL << 32U; ///< counts down, for asks put back
