--- a/src/backend/reports.cpp
+++ b/src/backend/reports.cpp
@@ -52,6 +52,7 @@
     report.waiting = count_or_zero(parsed, "waiting");
     report.kv_used_tokens = std::max(0.0, number_or(parsed, "kv_used_tokens", 0));
     report.kv_capacity_tokens = std::max(0.0, number_or(parsed, "kv_capacity_tokens", 0));
+    report.role = string_or(parsed, "role");
     report.is_leaving = bool_or(parsed, "leaving", false);
     if (const auto* models = find_array(parsed, "models")) {
         for (const auto& it : *models) {
--- a/src/bench/internal/policies.cpp
+++ b/src/bench/internal/policies.cpp
@@ -75,8 +75,14 @@
 
 routing::request_shape make_shape(const scheduling::ask& what)
 {
-    return {what.request_id,    what.prompt_tokens, what.output_tokens,
-            what.prefix_blocks, what.excluded,      ""};
+    routing::request_shape shape;
+    shape.request_id = what.request_id;
+    shape.model = what.model;
+    shape.prompt_tokens = what.prompt_tokens;
+    shape.output_tokens = what.output_tokens;
+    shape.prefix_blocks = what.prefix_blocks;
+    shape.excluded = what.excluded;
+    return shape;
 }
 
 routing::finish_report make_finish_report(const request& what)
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -50,6 +50,12 @@
         {"backend", "resume_window", t::duration, false, "10s",
          "Time in which resuming a stream is tried."},
         {"backend", "connect_timeout", t::duration, false, "1s", "Limit of one connect."},
+        {"placement", "lease", t::duration, false, "10s",
+         "Lifetime of the placement lease. A new holder waits for it and the margin."},
+        {"placement", "order_margin", t::duration, false, "2s",
+         "No order is sent with less than this left of the lease. At most half of the lease."},
+        {"placement", "weight_mb_per_second", t::integer, false, "500",
+         "Rate limit of the weight store, in MB/s."},
         {"log", "level", t::text, false, "info", "Lowest level: debug, info, warning or error."},
     };
     return specs;
@@ -82,11 +88,20 @@
     out.stream_silence = values.duration("backend.stream_silence");
     out.resume_window = values.duration("backend.resume_window");
     out.connect_timeout = values.duration("backend.connect_timeout");
+    out.placement_lease = values.duration("placement.lease");
+    out.placement_order_margin = values.duration("placement.order_margin");
+    out.weight_mb_per_second =
+        static_cast<double>(values.integer("placement.weight_mb_per_second"));
     out.log_level = values.text("log.level");
     if (out.traffic_threads < 1 || out.traffic_threads > 64) {
         return boost::leaf::new_error(
             parse_error{path, 0, "entry.traffic_threads", "must be from 1 to 64"});
     }
+    if (out.placement_order_margin.count() < 1 ||
+        out.placement_order_margin * 2 > out.placement_lease) {
+        return boost::leaf::new_error(parse_error{path, 0, "placement.order_margin",
+                                                  "must be above 0 and at most half of the lease"});
+    }
     log_level level{};
     if (!parse_log_level(out.log_level, level)) {
         return boost::leaf::new_error(
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -30,6 +30,9 @@
     std::chrono::milliseconds stream_silence{0};
     std::chrono::milliseconds resume_window{0};
     std::chrono::milliseconds connect_timeout{0};
+    std::chrono::milliseconds placement_lease{10'000};
+    std::chrono::milliseconds placement_order_margin{2'000};
+    double weight_mb_per_second = 500;
     std::string log_level;
 };
 
--- a/src/entry/internal/control_state.cpp
+++ b/src/entry/internal/control_state.cpp
@@ -98,7 +98,8 @@
                                                                     return replicas_of(service);
                                                                 }},
       manifests{members, router, store, source, [this] { on_manifest(); }},
-      guard{make_guard_config(members.self()), guard_callbacks(), store, source}
+      guard{make_guard_config(members.self()), guard_callbacks(), store, source},
+      placement{entry, source, context.get_executor(), store, router, owned}
 {
     router.set_local_handler([this](const std::string& from, const wire::envelope& message) {
         on_message(from, message);
@@ -181,6 +182,7 @@
     owned.tick(now);
     asker.tick(now);
     explaining.tick(now);
+    placement.tick(now);
 }
 
 void control_state::send_all(const std::vector<membership::outgoing_message>& messages)
@@ -211,6 +213,9 @@
     if (manifests.handle(from, message, clock.now())) {
         return;
     }
+    if (placement.handle(from, message, clock.now())) {
+        return;
+    }
     owned.handle(from, message);
     asker.handle(from, message);
     explaining.handle(from, message);
@@ -232,6 +237,15 @@
     return out;
 }
 
+void control_state::update_placement_members()
+{
+    auto live = members.live_members();
+    if (is_draining) {
+        std::erase_if(live, [&](const auto& it) { return it.id == settings.instance_id; });
+    }
+    placement.update_members(live);
+}
+
 void control_state::check_members()
 {
     std::vector<member_key> keys;
@@ -249,6 +263,7 @@
     known_members = std::move(keys);
     owned.update_ownership(granter_candidates());
     asker.check_owners();
+    update_placement_members();
     std::vector<advertised_address> usable;
     for (const auto& it : members.callers_addresses()) {
         if (!it.caller_address.empty()) {
@@ -285,6 +300,7 @@
         return;
     }
     owned.apply_manifest(content);
+    placement.apply_manifest(content);
     asker.check_owners();
     auto made = make_snapshot(content);
     const std::lock_guard lock{mutex};
@@ -336,6 +352,7 @@
     if (manifests.usable() != nullptr) {
         sources.manifest_name = manifests.usable()->name;
     }
+    sources.placement = placement.describe();
     return make_status_report(sources);
 }
 
--- a/src/entry/internal/control_state.h
+++ b/src/entry/internal/control_state.h
@@ -5,6 +5,7 @@
 #include "entry/internal/backend_monitor.h"
 #include "entry/internal/manifest_follower.h"
 #include "entry/internal/peer_explain.h"
+#include "entry/internal/placement_control.h"
 #include "entry/internal/pools.h"
 #include "granting/message_router.h"
 #include "idempotency/idempotency_guard.h"
@@ -42,6 +43,7 @@
     routing::replica_table* replicas_of(const std::string& service);
     idempotency::guard_callbacks guard_callbacks();
     void send_all(const std::vector<membership::outgoing_message>& messages);
+    void update_placement_members();
     void check_members();
     std::vector<membership::member> granter_candidates() const;
     void update_metrics();
@@ -63,6 +65,7 @@
     backend_monitor monitor;
     manifest_follower manifests;
     idempotency::idempotency_guard guard;
+    placement_control placement;
     using member_key = std::tuple<std::string, std::int64_t, membership::member_status>;
     std::vector<member_key> known_members;
     bool is_draining = false;
--- /dev/null
+++ b/src/entry/internal/placement_control.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "entry/entry_settings.h"
+#include "entry/internal/pools.h"
+#include "membership/member_table.h"
+#include "peer/peer_sender.h"
+#include "placement/http_order_sender.h"
+#include "placement/placement_duty.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/json/object.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace almondline::entry {
+
+/// Instances that may hold the placement lease: two of the live members by rendezvous hashing, so
+/// that few instances poll the record.
+std::vector<std::string> placement_candidates(const std::vector<membership::member>& live);
+
+/// Placement on this instance: the duty if it is a candidate, and for the pools that it owns the
+/// reports to the candidates and the drains that the holder orders. Does nothing while the manifest
+/// has no placements. Runs on the control thread.
+class placement_control {
+public:
+    /// The references must outlive the object.
+    placement_control(const entry_settings& settings, const clock_source& clock,
+                      boost::asio::any_io_executor executor, key_value_store& store,
+                      peer_sender& sender, pools& owned);
+
+    void apply_manifest(std::shared_ptr<const manifest> content);
+    /// live: members that are alive and not leaving; without this instance while it drains.
+    void update_members(const std::vector<membership::member>& live);
+    void tick(steady_time now);
+    /// Returns false if the message is not one of placement.
+    bool handle(const std::string& from, const wire::envelope& message, steady_time now);
+    /// For status reports.
+    boost::json::object describe() const;
+
+private:
+    struct pool_report {
+        steady_time received{};
+        placement::placement_input input;
+    };
+    struct drain_order {
+        std::uint64_t fencing = 0;
+        steady_time lapses{};
+        bool is_in_force = false;
+    };
+
+    bool is_candidate() const;
+    std::vector<placement_policy> policies_of(const service_policy& service) const;
+    std::vector<placement::placement_input> read_input() const;
+    void update_candidacy();
+    void send_reports();
+    void send_drains(steady_time now);
+    void end_lapsed_drains(steady_time now);
+    void take_report(const wire::envelope& message, steady_time now);
+    void take_drain(const std::string& from, const wire::envelope& message, steady_time now);
+
+    std::string instance_id_;
+    const clock_source& clock_;
+    peer_sender& sender_;
+    pools& owned_;
+    placement::placement_settings settings_;
+    placement::http_order_sender orders_;
+    placement::placement_duty duty_;
+    std::shared_ptr<const manifest> manifest_;
+    std::vector<std::string> candidates_;
+    std::map<std::string, pool_report> reports_; ///< as candidate, by pool
+    std::map<std::string, drain_order> drains_;  ///< as granter, by pool
+    steady_time next_report_{};
+    steady_time next_drains_{};
+};
+
+} // namespace almondline::entry
--- a/src/entry/internal/status_report.cpp
+++ b/src/entry/internal/status_report.cpp
@@ -46,6 +46,8 @@
             {"engine_class", it.spec.engine_class},
             {"health", it.health == routing::replica_health::healthy ? "healthy" : "eased"},
             {"leaving", it.is_leaving},
+            {"draining", routing::is_draining(it)},
+            {"models", json::array(it.models.begin(), it.models.end())},
             {"in_flight", it.in_flight},
             {"max_in_flight", it.spec.max_in_flight},
             {"prefill_tokens_per_second", it.prefill_rate},
@@ -123,6 +125,7 @@
         {"requests", json::object{{"waiting", sources.asker.waiting_count()},
                                   {"dispatched", sources.asker.held_count()}}},
         {"members", std::move(members)},
+        {"placement", sources.placement},
         {"pools", std::move(pools)}};
     return json::serialize(report);
 }
--- a/src/entry/internal/status_report.h
+++ b/src/entry/internal/status_report.h
@@ -4,6 +4,7 @@
 #include "membership/member_table.h"
 #include "store/types/store_limits.h"
 
+#include <boost/json/object.hpp>
 #include <string>
 
 namespace almondline::entry {
@@ -19,6 +20,7 @@
     std::string manifest_name;
     bool is_draining = false;
     bool is_watcher = false; ///< reads the store for its failure domain
+    boost::json::object placement;
 };
 
 /// JSON of GET /operator/status.
--- a/src/entry/request_parser.cpp
+++ b/src/entry/request_parser.cpp
@@ -244,6 +244,7 @@
     caller_request out;
     BOOST_LEAF_CHECK(read_common(request, m, account, *service, out));
     BOOST_LEAF_AUTO(prompt, read_prompt(body));
+    out.model = model;
     out.is_stream = bool_or(body, "stream", false);
     out.prompt_tokens = static_cast<double>(prompt.size()) / characters_per_token + 1;
     out.max_output_tokens =
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -110,6 +110,7 @@
     what.holder = context_.instance_id;
     what.account = request_.account;
     what.kind = request_.kind;
+    what.model = request_.model;
     what.tier = request_.tier;
     what.prompt_tokens = request_.prompt_tokens;
     what.output_tokens = request_.output_tokens;
--- a/src/entry/types/caller_request.h
+++ b/src/entry/types/caller_request.h
@@ -15,6 +15,7 @@
     std::string request_id;
     std::string account;
     std::string service;
+    std::string model; ///< empty for plain services
     std::string kind;
     std::string tier_name;
     int tier = 0; ///< index in the manifest's tiers
--- a/src/granting/granter.cpp
+++ b/src/granting/granter.cpp
@@ -47,6 +47,7 @@
     core_->expire_credits(now);
     core_->expire_asks(now);
     core_->check_backends(now);
+    core_->check_models(now);
     core_->check_holders(now);
     core_->grant_waiting(now);
     core_->flush();
@@ -68,6 +69,24 @@
     core_->flush();
 }
 
+void granter::set_draining(const std::set<std::string>& replica_ids)
+{
+    const auto now = core_->clock.now();
+    routing::set_draining(core_->table, replica_ids, now);
+    core_->grant_waiting(now);
+    core_->flush();
+}
+
+std::vector<model_work> granter::work_by_model() const
+{
+    return core_->work_by_model();
+}
+
+int granter::unfinished_requests(const routing::replica& of) const
+{
+    return routing::unfinished_requests(of, core_->settings.drain_settle, core_->clock.now());
+}
+
 routing::replica_table& granter::replicas()
 {
     return core_->table;
--- a/src/granting/granter.h
+++ b/src/granting/granter.h
@@ -4,6 +4,7 @@
 #include "granting/decision_log.h"
 #include "granting/types/granting_counters.h"
 #include "granting/types/granting_settings.h"
+#include "granting/types/model_work.h"
 #include "peer/peer_sender.h"
 #include "routing/types/replica.h"
 #include "scheduling/types/queue_config.h"
@@ -11,7 +12,9 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace almondline::granting {
 
@@ -47,6 +50,16 @@
     /// Releases all that an instance holds. For members that are dead or have restarted.
     void forget_holder(const std::string& instance_id);
 
+    /// The replicas get no further grant until a later call leaves them out.
+    void set_draining(const std::set<std::string>& replica_ids);
+
+    /// Waiting and running work by model, tier and account.
+    std::vector<model_work> work_by_model() const;
+
+    /// Requests that a replica may still have. Stays above 0 while a credit for a draining replica
+    /// may be in use without being known here.
+    int unfinished_requests(const routing::replica& of) const;
+
     /// To be changed with the functions of routing/routing.h; call tick() afterwards.
     routing::replica_table& replicas();
     const scheduling::queue_state& queue() const;
--- a/src/granting/internal/asker_state.cpp
+++ b/src/granting/internal/asker_state.cpp
@@ -25,6 +25,9 @@
     holding.tier = it.asked.tier;
     holding.account = it.asked.account;
     holding.kind = it.asked.kind;
+    if (!it.asked.model.empty()) {
+        holding.__set_model(it.asked.model);
+    }
     return holding;
 }
 
--- a/src/granting/internal/credit_table.h
+++ b/src/granting/internal/credit_table.h
@@ -49,6 +49,13 @@
                                            const std::string& credit_id);
     void prune_late(steady_time now);
     std::vector<std::string> requests_of(const std::string& holder) const;
+    template <class Function>
+    void for_each(Function&& function) const
+    {
+        for (const auto& it : by_request_) {
+            function(it.second);
+        }
+    }
     std::size_t size() const { return by_request_.size(); }
 
 private:
--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -60,6 +60,8 @@
         return;
     }
     std::vector<scheduling::ask> passed;
+    std::size_t bypassed = 0;
+    std::size_t bypassed_by_model = 0;
     bool is_blocked = false;
     while (!is_blocked) {
         auto next = scheduling::pick(queue, slots_at(now), now);
@@ -77,7 +79,12 @@
             refuse(*next, make_no_backend("every usable backend server is excluded"), "refusal");
             continue;
         }
-        is_blocked = is_bypass_over(*next, now) || passed.size() + 1 >= settings.max_bypassed;
+        if (is_served_by_all(next->model)) {
+            is_blocked = is_bypass_over(*next, now) || ++bypassed >= settings.max_bypassed;
+        }
+        else {
+            is_blocked = ++bypassed_by_model >= settings.max_bypassed_by_model;
+        }
         passed.push_back(std::move(*next));
     }
     // In reverse, so that the first one is at the head again.
--- a/src/granting/internal/granter_core.h
+++ b/src/granting/internal/granter_core.h
@@ -7,6 +7,7 @@
 #include "scheduling/queue.h"
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -37,6 +38,9 @@
     void expire_credits(steady_time now);
     void expire_asks(steady_time now);
     void check_backends(steady_time now);
+    /// Refuses asks for models that no replica has.
+    void check_models(steady_time now);
+    std::vector<model_work> work_by_model() const;
     void check_holders(steady_time now);
     void forget_holder(const std::string& instance_id, steady_time now);
     void refuse_all(const std::vector<scheduling::shed_ask>& shed);
@@ -65,6 +69,9 @@
     void adopt(issued_credit entry, steady_time now);
     void restore(const std::string& from, const wire::holding& held, steady_time now);
     bool is_excluded_everywhere(const scheduling::ask& what) const;
+    /// False if an ask for the model may have to wait while replicas are free.
+    bool is_served_by_all(const std::string& model) const;
+    bool is_served_by_any(const std::string& model) const;
     bool is_bypass_over(const scheduling::ask& what, steady_time now);
     bool lacks_backends(steady_time now) const;
 
@@ -75,7 +82,14 @@
     std::uint64_t next_credit_ = 1;
     steady_time grants_from_;
     steady_time next_holder_check_{};
+    /// An ask that was refused because no replica had its model.
+    struct missed_ask {
+        steady_time at;
+        scheduling::ask what;
+    };
     std::optional<steady_time> no_backend_since_;
+    std::map<std::string, steady_time> no_model_since_;
+    std::deque<missed_ask> missed_;
     std::unordered_map<std::string, steady_time> last_heard_;
     std::unordered_map<std::string, steady_time> passed_since_; ///< asks that did not fit
     std::deque<std::pair<std::string, wire::envelope>> outbox_;
--- a/src/granting/internal/granter_messages.cpp
+++ b/src/granting/internal/granter_messages.cpp
@@ -128,6 +128,7 @@
     entry.running = {held.request_id, held.account, held.kind, std::clamp(held.tier, 0, last_tier),
                      held.cost};
     entry.shape.request_id = held.request_id;
+    entry.shape.model = held.model;
     ++counters.restored_holdings;
     adopt(std::move(entry), now);
 }
--- /dev/null
+++ b/src/granting/internal/granter_models.cpp
@@ -0,0 +1,105 @@
+#include "granting/internal/granter_core.h"
+#include "granting/internal/messages.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace almondline::granting {
+
+namespace {
+
+constexpr std::chrono::milliseconds no_model_retry_after{2000};
+// Bounds the memory of refused asks; beyond it the demand is high enough to be seen.
+constexpr std::size_t max_missed = 1000;
+
+bool is_in_use(const routing::replica& it)
+{
+    return it.is_present && !it.is_leaving && !it.spec.is_leaving;
+}
+
+} // namespace
+
+bool granter_core::is_served_by_all(const std::string& model) const
+{
+    return std::all_of(table.replicas.begin(), table.replicas.end(), [&](const auto& it) {
+        return !is_in_use(it) || routing::is_draining(it) || routing::has_model(it, model);
+    });
+}
+
+bool granter_core::is_served_by_any(const std::string& model) const
+{
+    return std::any_of(table.replicas.begin(), table.replicas.end(), [&](const auto& it) {
+        return is_in_use(it) && !routing::is_draining(it) && routing::has_model(it, model);
+    });
+}
+
+void granter_core::check_models(steady_time now)
+{
+    std::map<std::string, bool> is_served;
+    std::vector<scheduling::ask> unserved;
+    for (const auto& [id, it] : queue.waiting) {
+        const auto& model = it.what.model;
+        const auto known = is_served.find(model);
+        const bool served = known != is_served.end() ? known->second : is_served_by_any(model);
+        is_served[model] = served;
+        if (served) {
+            no_model_since_.erase(model);
+            continue;
+        }
+        const auto since = no_model_since_.try_emplace(model, now).first->second;
+        if (now - since >= settings.no_model_delay) {
+            unserved.push_back(it.what);
+        }
+    }
+    std::erase_if(no_model_since_, [&](const auto& it) { return is_served_by_any(it.first); });
+    std::stable_sort(unserved.begin(), unserved.end(),
+                     [](const auto& a, const auto& b) { return a.tier > b.tier; });
+    for (const auto& it : unserved) {
+        scheduling::cancel(queue, it.request_id, now);
+        refuse(it,
+               {verdict::not_run, std::string{code_no_backend},
+                "no backend server has loaded the model", no_model_retry_after},
+               "refusal");
+        missed_.push_back({now, it});
+    }
+    while (!missed_.empty() &&
+           (missed_.size() > max_missed || now - missed_.front().at > settings.missed_window)) {
+        missed_.pop_front();
+    }
+}
+
+std::vector<model_work> granter_core::work_by_model() const
+{
+    std::map<std::tuple<std::string, int, std::string>, model_work> found;
+    const auto entry = [&](const std::string& model, int tier, const std::string& account) {
+        auto& it = found[{model, tier, account}];
+        it.model = model;
+        it.tier = tier;
+        it.account = account;
+        return &it;
+    };
+    const auto add_waiting = [&](const scheduling::ask& what) {
+        auto* it = entry(what.model, what.tier, what.account);
+        it->waiting_cost += what.cost;
+        ++it->waiting;
+    };
+    for (const auto& it : queue.waiting) {
+        add_waiting(it.second.what);
+    }
+    for (const auto& it : missed_) {
+        add_waiting(it.what);
+    }
+    credits.for_each([&](const issued_credit& held) {
+        auto* it = entry(held.shape.model, held.running.tier, held.running.account);
+        it->running_cost += held.running.cost;
+        ++it->running;
+    });
+    std::vector<model_work> work;
+    work.reserve(found.size());
+    for (auto& it : found) {
+        work.push_back(std::move(it.second));
+    }
+    return work;
+}
+
+} // namespace almondline::granting
--- a/src/granting/internal/messages.cpp
+++ b/src/granting/internal/messages.cpp
@@ -86,6 +86,9 @@
     ask.__set_output_tokens(what.output_tokens);
     ask.__set_resent(resent);
     ask.__set_excluded(what.excluded);
+    if (!what.model.empty()) {
+        ask.__set_model(what.model);
+    }
     wire::envelope message;
     message.__set_ask(ask);
     return message;
@@ -108,6 +111,7 @@
     what.estimated_service = read_time(message.estimated_service_ms);
     what.prefix_blocks.assign(message.prefix_blocks.begin(), message.prefix_blocks.end());
     what.excluded = message.excluded;
+    what.model = message.model;
     return what;
 }
 
@@ -193,6 +197,7 @@
     shape.output_tokens = what.output_tokens;
     shape.prefix_blocks = what.prefix_blocks;
     shape.excluded = what.excluded;
+    shape.model = what.model;
     shape.failure_domain = std::move(failure_domain);
     return shape;
 }
--- a/src/granting/tests/granter_test.cpp
+++ b/src/granting/tests/granter_test.cpp
@@ -214,3 +214,62 @@
     CHECK(what.deadline > clock.now());
     CHECK(what.estimated_service == 0ms);
 }
+
+// Guards against asks for a model that nobody has loaded, or whose replicas are full, keeping the
+// asks for other models from free replicas.
+TEST_CASE("asks for a model without free replicas do not block others")
+{
+    cluster c{1};
+    auto& granter = c.start_granter("e1", 2, 1);
+    const auto report = [&](const std::string& id, const std::string& model) {
+        routing::load_report it;
+        it.models = {model};
+        routing::on_load_report(granter.replicas(), id, it, c.clock.now());
+    };
+    report("b1", "small");
+    report("b2", "large");
+    c.model = "small";
+    c.ask("e1", "s0", 1, 20s);
+    for (int n = 1; n <= 6; ++n) {
+        c.ask("e1", "s" + std::to_string(n));
+    }
+    c.model = "absent";
+    c.ask("e1", "x", 0);
+    c.run_for(1s);
+    CHECK(c.records["s0"].code == "granted");
+    c.model = "large";
+    c.ask("e1", "l0");
+    c.run_for(100ms);
+    CHECK(c.records["l0"].code == "granted");
+    CHECK(c.records["x"].answers == 0);
+    c.run_for(2s);
+    CHECK(c.records["x"].code == code_no_backend);
+    CHECK(c.records["s1"].answers == 0);
+    int waiting_small = 0;
+    int missed_absent = 0;
+    for (const auto& it : granter.work_by_model()) {
+        waiting_small += it.model == "small" ? it.waiting : 0;
+        missed_absent += it.model == "absent" ? it.waiting : 0;
+    }
+    CHECK(waiting_small == 6);
+    CHECK(missed_absent == 1);
+}
+
+// Guards against an unload that interrupts a request: a credit granted before the drain may be
+// dispatched after it.
+TEST_CASE("a drained replica gets no grants and counts as busy while an old credit may be used")
+{
+    cluster c{1};
+    auto& granter = c.start_granter("e1", 1, 4);
+    c.is_dispatching = false;
+    c.ask("e1", "r1");
+    c.run_for(400ms);
+    REQUIRE(c.records["r1"].code == "granted");
+    granter.set_draining({"b1"});
+    c.ask("e1", "r2");
+    c.run_for(1s);
+    CHECK(c.records["r2"].answers == 0);
+    CHECK(granter.unfinished_requests(granter.replicas().replicas[0]) > 0);
+    c.run_for(2s);
+    CHECK(granter.unfinished_requests(granter.replicas().replicas[0]) == 0);
+}
--- a/src/granting/tests/granting_fixture.h
+++ b/src/granting/tests/granting_fixture.h
@@ -140,6 +140,7 @@
         what.request_id = id;
         what.account = "a1";
         what.kind = "draft";
+        what.model = model;
         what.tier = tier;
         what.prompt_tokens = 10;
         what.deadline = clock.now() + deadline;
@@ -240,6 +241,7 @@
     std::map<std::string, request_record> records;
     std::map<std::string, std::pair<std::string, steady_time>> running; ///< holder and end
     std::size_t peak = 0;
+    std::string model;          ///< of the next asks
     bool is_dispatching = true; ///< false: grants are received but not used
 };
 
--- a/src/granting/types/granting_settings.h
+++ b/src/granting/types/granting_settings.h
@@ -22,8 +22,18 @@
     std::chrono::milliseconds holder_timeout{15'000};
     /// Without any usable backend server for this long, asks are refused.
     std::chrono::milliseconds no_backend_delay{2000};
+    /// A credit granted before a drain began, by this granter or a former one, is confirmed or
+    /// expired after this time.
+    std::chrono::milliseconds drain_settle{2500};
     /// How long a confirmation of an expired credit is still accepted.
     std::chrono::milliseconds late_confirmation{10'000};
+    /// Asks for a model that no replica has loaded for this long are refused.
+    std::chrono::milliseconds no_model_delay{2000};
+    /// Refused asks count as demand for their model for this long.
+    std::chrono::milliseconds missed_window{10'000};
+    /// Asks for models that only some replicas have, passed over in one round. A full model must
+    /// not keep others waiting, but each ask that is passed costs a few us.
+    std::size_t max_bypassed_by_model = 32;
     /// An ask that no backend server can take now, for example because of its KV memory, is passed
     /// by smaller ones for this long; then slots are kept until it fits.
     std::chrono::milliseconds max_bypass{500};
--- a/src/peer/envelope_kind.h
+++ b/src/peer/envelope_kind.h
@@ -32,10 +32,12 @@
     query,
     outcome,
     explain,
-    explained
+    explained,
+    demand,
+    drain
 };
 
-constexpr std::size_t envelope_kind_count = 20;
+constexpr std::size_t envelope_kind_count = 22;
 
 /// The first field that is set.
 envelope_kind kind_of(const wire::envelope& message);
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -25,12 +25,23 @@
                                             static_cast<int>(max_frame_bytes), max_nesting);
 }
 
+std::size_t longest_model_list(const wire::pool_demand& demand)
+{
+    std::size_t longest = 0;
+    for (const auto& it : demand.replicas) {
+        longest = std::max(longest, it.models.size());
+    }
+    return longest;
+}
+
 std::size_t longest_list(const wire::envelope& message)
 {
     return std::max({message.ping.updates.size(), message.ping_ack.updates.size(),
                      message.ask.prefix_blocks.size(), message.ask.excluded.size(),
                      message.grant.candidates.size(), message.holdings.holdings.size(),
-                     message.explained.lines.size()});
+                     message.explained.lines.size(), message.demand.loads.size(),
+                     message.demand.replicas.size(), message.drain.replicas.size(),
+                     longest_model_list(message.demand)});
 }
 
 void append_header(std::size_t body_bytes, std::string& out)
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -69,6 +69,7 @@
   12: optional bool resent,
   // Backend servers that this request must not be sent to again.
   13: optional list<string> excluded,
+  14: optional string model,
 }
 
 struct grant_message {
@@ -125,6 +126,7 @@
   5: required i32 tier,
   6: required string account,
   7: required string kind,
+  8: optional string model,
 }
 
 // Requests in progress that a holder reports to a new granter.
@@ -189,6 +191,46 @@
   2: required list<string> lines,
 }
 
+// Work of one account in one tier for one model. Costs are in token units.
+struct model_load {
+  1: required string model,
+  2: required i32 tier,
+  // Empty: several accounts together.
+  3: required string account,
+  4: required double waiting_cost,
+  5: required double running_cost,
+  6: required i32 waiting,
+  7: required i32 running,
+}
+
+// A replica as its granter sees it.
+struct replica_load {
+  1: required string replica_id,
+  2: required string address,
+  3: required string failure_domain,
+  4: required list<string> models,
+  5: required i32 in_flight,
+  6: required i32 max_in_flight,
+  // The granter grants no request to it, because it is to be unloaded.
+  7: required bool draining,
+  8: required bool leaving,
+}
+
+// Sent by a granter to the instances that may control placement.
+struct pool_demand {
+  1: required string pool,
+  2: required list<model_load> loads,
+  3: required list<replica_load> replicas,
+}
+
+// Sent by the holder of the placement lease to a pool's granter: replicas that get no requests.
+// Replaces the previous notice, lapses unless it is repeated.
+struct drain_notice {
+  1: required string pool,
+  2: required i64 fencing,
+  3: required list<string> replicas,
+}
+
 // Exactly one field is set.
 union envelope {
   1: hello greeting,
@@ -210,4 +252,6 @@
   17: outcome_reply outcome,
   18: explain_query explain,
   19: explain_reply explained,
+  20: pool_demand demand,
+  21: drain_notice drain,
 }
--- a/src/placement/lease_keeper.cpp
+++ b/src/placement/lease_keeper.cpp
@@ -53,6 +53,8 @@
     std::string lease_id;
     std::string claim; ///< value of the record, unique for each acquisition
     std::uint64_t fencing = 0;
+    std::string seen_holder;
+    std::uint64_t seen_fencing = 0;
     steady_time valid_until{};
     steady_time orders_from{};
 };
@@ -79,6 +81,9 @@
 
 void lease_keeper::state::note_record(const get_result& r)
 {
+    const bool is_found = r.status == get_status::found;
+    seen_holder = is_found ? r.value.substr(0, r.value.find(' ')) : std::string{};
+    seen_fencing = is_found ? r.revision : 0;
     if (r.status == get_status::missing) {
         grant(clock.now());
         return;
@@ -228,6 +233,16 @@
            now + state_->settings.order_margin < state_->valid_until;
 }
 
+std::string lease_keeper::seen_holder() const
+{
+    return state_->seen_holder;
+}
+
+std::uint64_t lease_keeper::seen_fencing() const
+{
+    return state_->seen_fencing;
+}
+
 std::uint64_t lease_keeper::fencing() const
 {
     return state_->fencing;
--- a/src/placement/lease_keeper.h
+++ b/src/placement/lease_keeper.h
@@ -51,6 +51,9 @@
     bool may_send_orders(steady_time now) const;
     /// Revision of the record, 0 if it is not held.
     std::uint64_t fencing() const;
+    /// Instance and revision of the record at the last look, empty and 0 if there was none.
+    std::string seen_holder() const;
+    std::uint64_t seen_fencing() const;
 
 private:
     struct state;
--- a/src/placement/order_sender.h
+++ b/src/placement/order_sender.h
@@ -15,6 +15,9 @@
     std::string address;
     order_kind kind = order_kind::serve;
     std::string model;
+    std::string replaces; ///< of a load: model to unload before, empty if none
+    /// No byte may be sent after this time, which counts from the check of the lease.
+    steady_time send_until{};
     std::uint64_t fencing = 0;      ///< revision of the holder's record
     std::uint64_t plan_version = 0; ///< rises with each order of a holder
 };
@@ -26,6 +29,9 @@
     unknown ///< the answer was lost
 };
 
+/// "done", "stale", "failed" or "unknown".
+const char* to_string(order_status status);
+
 /// Delivers orders to engines.
 class order_sender {
 public:
--- a/src/placement/placement_duty.cpp
+++ b/src/placement/placement_duty.cpp
@@ -7,9 +7,30 @@
 
 namespace almondline::placement {
 
+namespace {
+
+constexpr std::size_t max_recent_orders = 20;
+
+} // namespace
+
+const char* to_string(order_status status)
+{
+    switch (status) {
+    case order_status::done:
+        return "done";
+    case order_status::stale:
+        return "stale";
+    case order_status::failed:
+        return "failed";
+    case order_status::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 struct placement_duty::state : std::enable_shared_from_this<state> {
     state(key_value_store& store, const clock_source& source, order_sender& orders,
-          std::function<placement_input()> input, std::string instance_id,
+          std::function<std::vector<placement_input>()> input, std::string instance_id,
           placement_settings placement)
         : clock{source}, sender{orders}, read_input{std::move(input)}, settings{placement},
           lease{store, source, placement_lease_key, std::move(instance_id), placement.lease}
@@ -18,16 +39,19 @@
 
     void tick(steady_time now);
     void plan(steady_time now);
-    bool send(const placement_decision& decision);
-    void note_result(const placement_order& order, order_status status);
+    bool send(const std::string& pool, const placement_decision& decision);
+    void note_result(const std::string& pool, const placement_order& order, order_status status);
+    void repeat_soon(const std::string& pool, const placement_order& order);
     void start_over();
 
     const clock_source& clock;
     order_sender& sender;
-    std::function<placement_input()> read_input;
+    std::function<std::vector<placement_input>()> read_input;
     placement_settings settings;
     lease_keeper lease;
-    plan_state memory;
+    std::map<std::string, plan_state> memory; ///< by pool
+    std::deque<recorded_order> recent;
+    bool is_candidate = true;
     weight_budget budget;
     std::uint64_t planned_fencing = 0;
     std::uint64_t plan_version = 0;
@@ -57,28 +81,32 @@
 
 void placement_duty::state::plan(steady_time now)
 {
-    const auto input = read_input();
-    const auto decisions = plan_placement(memory, input.demand, input.replicas, input.policies,
-                                          budget, settings.plan, now);
-    for (const auto& it : decisions) {
-        if (!send(it)) {
-            return;
+    for (const auto& input : read_input()) {
+        const auto decisions = plan_placement(memory[input.pool], input.demand, input.replicas,
+                                              input.policies, budget, settings.plan, now);
+        for (const auto& it : decisions) {
+            if (!send(input.pool, it)) {
+                return;
+            }
         }
     }
 }
 
-bool placement_duty::state::send(const placement_decision& decision)
+bool placement_duty::state::send(const std::string& pool, const placement_decision& decision)
 {
     // The process may have been paused since the plan was made, so each order asks the clock anew.
-    if (!lease.may_send_orders(clock.now())) {
+    const auto checked = clock.now();
+    if (!lease.may_send_orders(checked)) {
         log_event("placement", log_level::warning, "orders-stopped",
                   {{"fencing", lease.fencing()}, {"reason", "too little of the lease is left"}});
         // What was planned and not sent must be planned again.
         planned_fencing = 0;
         return false;
     }
-    const placement_order order{decision.replica_id, decision.address, decision.kind,
-                                decision.model,      lease.fencing(),  ++plan_version};
+    const auto timeout = std::min(settings.order_timeout, settings.lease.order_margin / 2);
+    const placement_order order{decision.replica_id, decision.address,  decision.kind,
+                                decision.model,      decision.replaces, checked + timeout,
+                                lease.fencing(),     ++plan_version};
     log_event("placement", log_level::info, "placement-decision",
               {{"replica", order.replica_id},
                {"order", to_string(order.kind)},
@@ -88,33 +116,61 @@
                {"fencing", order.fencing},
                {"plan_version", order.plan_version}});
     ++orders_sent;
-    const auto timeout = std::min(settings.order_timeout, settings.lease.order_margin / 2);
-    sender.send(order, timeout, [weak = weak_from_this(), order](order_status status) {
+    recent.push_back({order, decision.reason, "pending"});
+    if (recent.size() > max_recent_orders) {
+        recent.pop_front();
+    }
+    sender.send(order, timeout, [weak = weak_from_this(), pool, order](order_status status) {
         if (const auto self = weak.lock()) {
-            self->note_result(order, status);
+            self->note_result(pool, order, status);
         }
     });
     return true;
 }
 
-void placement_duty::state::note_result(const placement_order& order, order_status status)
+/// A load is repeated only after the longest time that one may take. If the order was not taken,
+/// that would leave the replica without a model for as long.
+void placement_duty::state::repeat_soon(const std::string& pool, const placement_order& order)
 {
+    const auto plan = memory.find(pool);
+    if (plan == memory.end() || order.kind != order_kind::load) {
+        return;
+    }
+    const auto it = plan->second.changes.find(order.replica_id);
+    if (it != plan->second.changes.end() && it->second.phase == change_phase::loading) {
+        it->second.last_order =
+            clock.now() - settings.plan.resend_load_after + settings.plan.resend_role_after;
+    }
+}
+
+void placement_duty::state::note_result(const std::string& pool, const placement_order& order,
+                                        order_status status)
+{
+    const auto kept = std::find_if(recent.begin(), recent.end(), [&](const auto& it) {
+        return it.order.plan_version == order.plan_version;
+    });
+    if (kept != recent.end()) {
+        kept->outcome = to_string(status);
+    }
     if (status == order_status::done) {
         return;
     }
-    const char* outcome = status == order_status::stale    ? "stale"
-                          : status == order_status::failed ? "failed"
-                                                           : "unknown";
     // A failed order is repeated by the plan until the load report shows its effect.
     log_event("placement", log_level::warning, "order-without-effect",
-              {{"replica", order.replica_id}, {"outcome", outcome}, {"fencing", order.fencing}});
+              {{"replica", order.replica_id},
+               {"outcome", to_string(status)},
+               {"fencing", order.fencing}});
+    if (order.fencing == lease.fencing()) {
+        repeat_soon(pool, order);
+    }
     if (status == order_status::stale && order.fencing == lease.fencing()) {
         lease.step_down("an engine has seen a higher fencing number");
     }
 }
 
 placement_duty::placement_duty(key_value_store& store, const clock_source& clock,
-                               order_sender& sender, std::function<placement_input()> read_input,
+                               order_sender& sender,
+                               std::function<std::vector<placement_input>()> read_input,
                                std::string instance_id, placement_settings settings)
     : state_{std::make_shared<state>(store, clock, sender, std::move(read_input),
                                      std::move(instance_id), settings)}
@@ -130,9 +186,42 @@
 
 void placement_duty::set_candidate(bool is_candidate)
 {
+    state_->is_candidate = is_candidate;
     state_->lease.set_candidate(is_candidate);
 }
 
+std::map<std::string, std::set<std::string>>
+placement_duty::draining_replicas(steady_time now) const
+{
+    std::map<std::string, std::set<std::string>> replicas;
+    if (!state_->lease.may_send_orders(now) || state_->planned_fencing != state_->lease.fencing()) {
+        return replicas;
+    }
+    for (const auto& [pool, plan] : state_->memory) {
+        auto& ids = replicas[pool];
+        for (const auto& [id, change] : plan.changes) {
+            if (change.phase != change_phase::serving) {
+                ids.insert(id);
+            }
+        }
+    }
+    return replicas;
+}
+
+placement_status placement_duty::status() const
+{
+    placement_status out;
+    out.is_candidate = state_->is_candidate;
+    out.is_holder = is_holder();
+    out.holder_instance = state_->lease.seen_holder();
+    out.fencing = out.is_holder ? fencing() : state_->lease.seen_fencing();
+    out.orders_sent = orders_sent();
+    out.plan_version = state_->plan_version;
+    out.plans = state_->memory;
+    out.recent = state_->recent;
+    return out;
+}
+
 bool placement_duty::is_holder() const
 {
     return state_->lease.is_held();
--- a/src/placement/plan.cpp
+++ b/src/placement/plan.cpp
@@ -109,8 +109,10 @@
     void decide(order_kind kind, const replica_status& replica, const std::string& model,
                 std::string reason, bool is_repeated = false)
     {
-        decisions_.push_back(
-            {kind, replica.id, replica.address, model, std::move(reason), is_repeated});
+        const bool is_replacement = kind == order_kind::load && replica.model != model;
+        decisions_.push_back({kind, replica.id, replica.address, model,
+                              is_replacement ? replica.model : std::string{}, std::move(reason),
+                              is_repeated});
     }
 
     void serve(const replica_status& replica, const std::string& reason)
--- a/src/placement/tests/duty_test.cpp
+++ b/src/placement/tests/duty_test.cpp
@@ -71,7 +71,7 @@
 
 struct instance {
     instance(fake_key_value_store& store, const manual_clock& clock, const std::string& id)
-        : sender{clock}, duty{store, clock, sender, [this] { return input; }, id, {}}
+        : sender{clock}, duty{store, clock, sender, [this] { return std::vector{input}; }, id, {}}
     {
         // Both engines lack the model that the policy wants, and never load it.
         input.policies = {{"m", 1, 2, 2}};
--- /dev/null
+++ b/src/placement/tests/order_sender_test.cpp
@@ -0,0 +1,169 @@
+#include "placement/http_order_sender.h"
+#include "store/tests/scripted_server.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace almondline;
+using namespace almondline::placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct fixture {
+    std::string address(std::uint16_t port) const { return "127.0.0.1:" + std::to_string(port); }
+
+    order_status send(placement_order order, std::chrono::milliseconds timeout = 500ms)
+    {
+        std::optional<order_status> result;
+        int calls = 0;
+        sender.send(order, timeout, [&](order_status status) {
+            result = status;
+            ++calls;
+            io.stop();
+        });
+        io.restart();
+        io.run_for(5s);
+        REQUIRE(result);
+        CHECK(calls == 1);
+        return *result;
+    }
+
+    placement_order make(order_kind kind, const std::string& replaces = {}) const
+    {
+        placement_order order;
+        order.replica_id = "r1";
+        order.address = address(engine.server.port());
+        order.kind = kind;
+        order.model = "new";
+        order.replaces = replaces;
+        order.fencing = 42;
+        return order;
+    }
+
+    std::vector<std::string> bodies() const
+    {
+        std::vector<std::string> out;
+        for (const auto& it : engine.requests) {
+            CHECK(it.method == "POST");
+            CHECK(it.target == "/v1/orders");
+            out.push_back(it.body);
+        }
+        return out;
+    }
+
+    boost::asio::io_context io;
+    manual_clock clock;
+    scripted_server engine{io};
+    http_order_sender sender{io.get_executor(), clock};
+};
+
+} // namespace
+
+TEST_CASE("orders are mapped to the kinds of the engines' protocol")
+{
+    struct mapping {
+        order_kind kind;
+        std::string replaces;
+        std::vector<std::string> bodies;
+    };
+    const std::vector<mapping> cases{
+        {order_kind::drain, "", {R"({"kind":"role","target":"draining","fencing":42})"}},
+        {order_kind::serve, "", {R"({"kind":"role","target":"serving","fencing":42})"}},
+        {order_kind::load, "", {R"({"kind":"load-model","target":"new","fencing":42})"}},
+        {order_kind::load,
+         "old",
+         {R"({"kind":"unload-model","target":"old","fencing":42})",
+          R"({"kind":"load-model","target":"new","fencing":42})"}},
+    };
+    for (const auto& it : cases) {
+        fixture f;
+        CHECK(f.send(f.make(it.kind, it.replaces)) == order_status::done);
+        CHECK(f.bodies() == it.bodies);
+    }
+}
+
+// Guards against a fault that is taken for another one: "failed" promises that repeating is
+// needed, "stale" makes the holder step down.
+TEST_CASE("faults of the engine and of the connection")
+{
+    struct fault {
+        const char* name;
+        scripted_step step;
+        int status;
+        order_status expected;
+    };
+    const std::vector<fault> cases{
+        {"created", scripted_step::answer, 201, order_status::done},
+        {"old fencing number", scripted_step::answer, 409, order_status::stale},
+        {"bad order", scripted_step::answer, 400, order_status::failed},
+        {"engine error", scripted_step::answer, 500, order_status::failed},
+        {"overload", scripted_step::answer, 503, order_status::failed},
+        {"closed without an answer", scripted_step::hang_up, 200, order_status::unknown},
+        {"silent", scripted_step::stay_silent, 200, order_status::unknown},
+        {"answer cut after the header", scripted_step::cut_body, 200, order_status::done},
+    };
+    for (const auto& it : cases) {
+        CAPTURE(it.name);
+        fixture f;
+        f.engine.step = it.step;
+        f.engine.response = json_response(it.status, R"({"fencing":50})");
+        CHECK(f.send(f.make(order_kind::load, "old")) == it.expected);
+        // The second part must not follow a first one that did not take effect.
+        CHECK(f.engine.requests.size() == (it.expected == order_status::done ? 2 : 1));
+    }
+}
+
+TEST_CASE("an engine that can't be reached")
+{
+    fixture f;
+    auto order = f.make(order_kind::drain);
+    order.address = f.address(closed_address().port);
+    CHECK(f.send(order) == order_status::failed);
+    order.address = "not an address";
+    CHECK(f.send(order) == order_status::failed);
+}
+
+// Guards against an order of a process that was paused between the check of its lease and the
+// write: a newer holder may have sent its orders meanwhile.
+TEST_CASE("nothing is sent after the time of an order")
+{
+    SUBCASE("paused before the connection is made")
+    {
+        fixture f;
+        auto order = f.make(order_kind::drain);
+        order.send_until = f.clock.now() + 100ms;
+        f.clock.advance(1s);
+        CHECK(f.send(order) == order_status::failed);
+        CHECK(f.engine.requests.empty());
+    }
+    SUBCASE("paused while the connection is made")
+    {
+        fixture f;
+        std::optional<order_status> result;
+        f.sender.send(f.make(order_kind::drain), 500ms,
+                      [&](order_status status) { result = status; });
+        f.io.run_one(); // starts the order, which waits for its connection
+        REQUIRE_FALSE(result);
+        f.clock.advance(1s);
+        f.io.run_for(300ms);
+        CHECK(result == order_status::failed);
+        CHECK(f.engine.requests.empty());
+    }
+    SUBCASE("paused between the two parts of a load")
+    {
+        fixture f;
+        std::optional<order_status> result;
+        f.sender.send(f.make(order_kind::load, "old"), 500ms,
+                      [&](order_status status) { result = status; });
+        while (f.engine.requests.empty()) {
+            f.io.run_one();
+        }
+        f.clock.advance(1s);
+        f.io.run_for(300ms);
+        REQUIRE(result);
+        CHECK(f.engine.requests.size() == 1);
+    }
+}
--- a/src/placement/types/placement.h
+++ b/src/placement/types/placement.h
@@ -43,7 +43,8 @@
     order_kind kind = order_kind::serve;
     std::string replica_id;
     std::string address;
-    std::string model; ///< load: model to load; drain: model to follow; serve: loaded model
+    std::string model;    ///< load: model to load; drain: model to follow; serve: loaded model
+    std::string replaces; ///< load: model to unload before, empty if none
     std::string reason;
     bool is_repeated = false; ///< an earlier order had no effect yet
 };
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -15,6 +15,12 @@
     if (of.is_leaving || of.spec.is_leaving) {
         return candidate_state::leaving;
     }
+    if (is_draining(of)) {
+        return candidate_state::draining;
+    }
+    if (!has_model(of, request.model)) {
+        return candidate_state::other_model;
+    }
     const auto& excluded = request.excluded;
     if (std::find(excluded.begin(), excluded.end(), of.spec.id) != excluded.end()) {
         return candidate_state::excluded;
@@ -44,7 +50,7 @@
     double used = 0;
     double all = 0;
     for (const replica& each : table.replicas) {
-        if (each.is_present && !each.is_leaving) {
+        if (each.is_present && !each.is_leaving && !is_draining(each)) {
             used += each.in_flight;
             all += each.spec.max_in_flight;
         }
@@ -136,7 +142,8 @@
 {
     slot_counts counts;
     for (const replica& each : table.replicas) {
-        if (!each.is_present || each.is_leaving || each.spec.is_leaving) {
+        if (!each.is_present || each.is_leaving || each.spec.is_leaving || is_draining(each) ||
+            (each.has_known_models && each.models.empty())) {
             continue;
         }
         if (is_eased(table, each, now)) {
--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
 
 namespace almondline::routing {
 
@@ -21,6 +22,8 @@
 constexpr double full_weight_prefill = 0.5;
 // Slower than that of a replica, so that one slow replica does not pass for the class.
 constexpr double class_learning_rate = 0.03;
+constexpr std::string_view draining_role = "draining";
+constexpr std::string_view serving_role = "serving";
 // Outputs from this length on count fully.
 constexpr double full_weight_output = 64;
 
@@ -128,6 +131,23 @@
     }
 }
 
+/// An engine that took a role order is under placement: an empty list of models then means that
+/// none is loaded.
+bool is_managed_role(const std::string& role)
+{
+    return role == draining_role || role == serving_role;
+}
+
+void update_draining(replica& of, steady_time now)
+{
+    if (!is_draining(of)) {
+        of.draining_since = {};
+    }
+    else if (of.draining_since == steady_time{}) {
+        of.draining_since = now;
+    }
+}
+
 /// Takes a request out of the work in flight. Returns false if it was not there.
 bool release(replica& of, const std::string& request_id, dispatched_work& work, steady_time now)
 {
@@ -179,6 +199,8 @@
         // Another process, with an empty cache.
         forget_all_blocks(table, index_of(table, *known));
         known->is_leaving = false;
+        known->has_known_models = false;
+        known->reports_draining = false;
     }
     known->spec = spec;
     known->class_index = find_class(table, spec.engine_class, spec.decode_rate);
@@ -320,6 +342,40 @@
                                                   table.config.max_probe_interval);
 }
 
+bool is_draining(const replica& of)
+{
+    return of.is_ordered_to_drain || of.reports_draining;
+}
+
+bool has_model(const replica& of, const std::string& model)
+{
+    return model.empty() || !of.has_known_models ||
+           std::find(of.models.begin(), of.models.end(), model) != of.models.end();
+}
+
+int unfinished_requests(const replica& of, std::chrono::milliseconds settle, steady_time now)
+{
+    const bool reports = of.last_report != steady_time{};
+    const int reported = reports ? of.reported_requests : 0;
+    const int known = std::max(of.in_flight, reported);
+    if (!is_draining(of)) {
+        return known;
+    }
+    const auto settled = of.draining_since + settle;
+    const bool is_settled = now >= settled && (!reports || of.report_taken >= settled);
+    return is_settled ? known : std::max(1, known);
+}
+
+void set_draining(replica_table& table, const std::set<std::string>& ids, steady_time now)
+{
+    for (replica& each : table.replicas) {
+        if (each.is_present) {
+            each.is_ordered_to_drain = ids.contains(each.spec.id);
+            update_draining(each, now);
+        }
+    }
+}
+
 void on_load_report(replica_table& table, const std::string& id, const load_report& report,
                     steady_time now)
 {
@@ -335,6 +391,12 @@
         return;
     }
     of->report_taken = taken;
+    of->has_known_models =
+        of->has_known_models || !report.models.empty() || is_managed_role(report.role);
+    of->models = report.models;
+    of->reports_draining = report.role == draining_role;
+    update_draining(*of, now);
+    of->reported_requests = report.running + report.waiting;
     of->reported_others =
         std::max(0, report.running + report.waiting - own_in_flight_at(*of, taken));
     if (report.kv_capacity_tokens > 0) {
--- a/src/routing/reports.cpp
+++ b/src/routing/reports.cpp
@@ -13,6 +13,10 @@
         return "excluded";
     case candidate_state::leaving:
         return "leaving";
+    case candidate_state::draining:
+        return "draining";
+    case candidate_state::other_model:
+        return "other-model";
     case candidate_state::eased:
         return "eased";
     case candidate_state::full:
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -4,7 +4,9 @@
 #include "routing/types/reports.h"
 #include "routing/types/request_shape.h"
 
+#include <chrono>
 #include <optional>
+#include <set>
 #include <string>
 
 /// Choice among the unlike replicas of one slice. Pure: the time is passed in. Calls that name an
@@ -21,6 +23,20 @@
 /// The replica gets no further request. Its work in progress continues.
 void mark_leaving(replica_table& table, const std::string& id);
 
+/// Replicas in the set get no further request until a later call leaves them out. Replicas that
+/// report the role "draining" get none either way.
+void set_draining(replica_table& table, const std::set<std::string>& ids, steady_time now);
+
+bool is_draining(const replica& of);
+
+/// True if the replica has loaded the model, or its models are not known.
+bool has_model(const replica& of, const std::string& model);
+
+/// Requests that a replica to be unloaded may still have. Stays above 0 until the settle time has
+/// passed since it began to drain and a load report from after that time shows no request: credits
+/// granted before, also by a former granter, are used or expired by then.
+int unfinished_requests(const replica& of, std::chrono::milliseconds settle, steady_time now);
+
 /// The replica with the least expected time to the end of the request, or nothing if none may take
 /// it now. Takes less than 10 us at 64 replicas.
 std::optional<choice> choose(const replica_table& table, const request_shape& request,
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -282,3 +282,71 @@
     mark_leaving(f.table, "fast");
     CHECK(count_slots(f.table, f.clock.now()).free_headroom == 0);
 }
+
+// Guards against requests for a model at a replica that lacks it or is to be unloaded.
+TEST_CASE("only replicas with the request's model are chosen")
+{
+    fixture f{make_spec("a"), make_spec("b")};
+    const auto chosen = [&](const std::string& model) {
+        auto request = make_request("r");
+        request.model = model;
+        return f.chosen(request);
+    };
+    const auto report = [&](const std::string& id, std::vector<std::string> models,
+                            const std::string& role = {}) {
+        f.clock.advance(500ms);
+        load_report it;
+        it.models = std::move(models);
+        it.role = role;
+        on_load_report(f.table, id, it, f.clock.now());
+    };
+    CHECK_FALSE(chosen("small").empty());
+    report("a", {});
+    CHECK_FALSE(chosen("small").empty()); // an engine that names no model serves all
+    report("a", {"small"});
+    report("b", {"large"});
+    CHECK(chosen("small") == "a");
+    CHECK(chosen("large") == "b");
+    CHECK_FALSE(chosen("").empty());
+    CHECK(chosen("other").empty());
+    report("b", {"large"}, "draining");
+    CHECK(chosen("large").empty());
+    report("b", {}, "draining"); // unloaded
+    CHECK(chosen("large").empty());
+    CHECK(count_slots(f.table, f.clock.now()).total == 8);
+    report("b", {"small"}, "serving");
+    set_draining(f.table, {"a"}, f.clock.now());
+    CHECK(chosen("small") == "b");
+    set_draining(f.table, {}, f.clock.now());
+    CHECK(count_slots(f.table, f.clock.now()).total == 16);
+}
+
+// Guards against an unload while a credit that was granted before the drain is still on its way, or
+// while a former granter's request runs that only the engine knows of.
+TEST_CASE("a draining replica counts as busy until a report after the settle time shows no request")
+{
+    fixture f{make_spec("a")};
+    const auto unfinished = [&] {
+        return unfinished_requests(f.table.replicas[0], 2500ms, f.clock.now());
+    };
+    const auto report = [&](int running, std::chrono::milliseconds age = 0ms) {
+        load_report it;
+        it.age = age;
+        it.running = running;
+        it.models = {"small"};
+        on_load_report(f.table, "a", it, f.clock.now());
+    };
+    report(0);
+    CHECK(unfinished() == 0);
+    set_draining(f.table, {"a"}, f.clock.now());
+    CHECK(unfinished() == 1);
+    f.clock.advance(3s);
+    CHECK(unfinished() == 1); // no report since
+    report(0, 1s);
+    CHECK(unfinished() == 1); // taken before the settle time ended
+    report(2);
+    CHECK(unfinished() == 2);
+    f.clock.advance(500ms);
+    report(0);
+    CHECK(unfinished() == 0);
+}
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -59,8 +59,14 @@
 /// State of one replica.
 struct replica {
     replica_spec spec;
-    std::size_t class_index = 0; ///< in replica_table::classes
-    bool is_present = false;     ///< false: slot of a removed replica, to be used again
+    std::size_t class_index = 0;     ///< in replica_table::classes
+    bool is_present = false;         ///< false: slot of a removed replica, to be used again
+    std::vector<std::string> models; ///< loaded, by its last report
+    /// False until a report names a model: every model is then taken to be loaded.
+    bool has_known_models = false;
+    bool is_ordered_to_drain = false; ///< by the placement holder
+    bool reports_draining = false;    ///< the role in its last report is draining
+    steady_time draining_since{};     ///< set while it drains for either reason
     bool is_leaving = false; ///< by the list or its own report; holds until the process is replaced
     double prefill_rate = 0; ///< learned, tokens per second
     double decode_rate = 0;  ///< learned, tokens per second of a stream that runs alone
@@ -73,6 +79,7 @@
 
     steady_time last_report{};   ///< arrival of the last load report
     steady_time report_taken{};  ///< when the engine took it
+    int reported_requests = 0;   ///< requests in it, own work included
     double reported_others = 0;  ///< requests in it that are not own work
     steady_time last_progress{}; ///< first token, end of a request or load report
     steady_time last_sample{};   ///< last observation of its speed
--- a/src/routing/types/reports.h
+++ b/src/routing/types/reports.h
@@ -16,6 +16,7 @@
     double kv_capacity_tokens = 0;
     bool is_leaving = false;
     std::vector<std::string> models; ///< loaded on the engine
+    std::string role;                ///< as ordered, empty if not reported
 };
 
 enum class cache_event_kind { stored, evicted };
@@ -46,6 +47,8 @@
     probe, ///< eased off or slow, and due for a single request
     excluded,
     leaving,
+    draining,     ///< to be unloaded: gets no further request
+    other_model,  ///< has not loaded the request's model
     eased,        ///< failed or silent, not yet due for a probe
     full,         ///< all of its slots are taken
     out_of_kv,    ///< the request could not be kept in memory until its end
--- a/src/routing/types/request_shape.h
+++ b/src/routing/types/request_shape.h
@@ -9,6 +9,7 @@
 /// What the choice of a backend server depends on.
 struct request_shape {
     std::string request_id;
+    std::string model; ///< empty: any replica serves it
     double prompt_tokens = 0;
     double output_tokens = 0;                 ///< estimate
     std::vector<std::uint64_t> prefix_blocks; ///< chained hashes of the prompt's blocks, in order
--- a/src/scheduling/types/ask.h
+++ b/src/scheduling/types/ask.h
@@ -15,6 +15,7 @@
     std::string holder; ///< entry instance that holds the caller's connection
     std::string account;
     std::string kind;
+    std::string model; ///< of a model service, else empty
     int tier = 0;      ///< index in the manifest's tiers, 0 is the most urgent
     double cost = 1.0; ///< estimated, in token units: prompt tokens + output_cost_factor * output
     double prompt_tokens = 0;
--- a/src/standins/engine_service.cpp
+++ b/src/standins/engine_service.cpp
@@ -65,6 +65,7 @@
                                  return handle(exchange);
                              }}
 {
+    serves_any_model = models.empty();
     model.speed = options.speed;
     model.cache.capacity = options.cache_blocks;
     events.lag = options.cache_event_lag;
@@ -168,7 +169,7 @@
     if (model.waiting.size() >= options.max_waiting) {
         return "too many requests waiting";
     }
-    if (!models.empty() && models.count(chat.model) == 0) {
+    if (!serves_any_model && models.count(chat.model) == 0) {
         return "model is not loaded";
     }
     return {};
--- a/src/standins/internal/engine_control.cpp
+++ b/src/standins/internal/engine_control.cpp
@@ -2,6 +2,7 @@
 #include "common/log.h"
 #include "standins/internal/engine_state.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -52,10 +53,18 @@
     body["kv_used_tokens"] = static_cast<std::int64_t>(sample.kv_used_tokens);
     body["kv_capacity_tokens"] = static_cast<std::int64_t>(model.speed.kv_capacity_tokens);
     body["leaving"] = is_leaving;
+    body["role"] = role;
     body["models"] = json::array(models.begin(), models.end());
     return json_response(200, json::serialize(body));
 }
 
+int engine_service::state::requests_of(const std::string& name) const
+{
+    return static_cast<int>(std::count_if(streams.begin(), streams.end(), [&](const auto& it) {
+        return it.second->model == name && !it.second->is_complete() && !it.second->is_cancelled;
+    }));
+}
+
 http_response engine_service::state::take_order(const std::string& body)
 {
     const auto order = read_json(body);
@@ -67,12 +76,15 @@
     }
     if (options.checks_fencing && fencing < highest_fencing) {
         ++orders_refused;
+        note_order(server.requests(), {kind, target, fencing, false, 0, 0}, clock.wall());
         json::object refused;
         refused["fencing"] = highest_fencing;
         return json_response(409, json::serialize(refused));
     }
+    const int interrupted = kind == "unload-model" ? requests_of(target) : 0;
     if (kind == "load-model") {
         models.insert(target);
+        serves_any_model = false;
     }
     else if (kind == "unload-model") {
         models.erase(target);
@@ -91,6 +103,7 @@
     }
     highest_fencing = std::max(highest_fencing, fencing);
     ++orders_taken;
+    note_order(server.requests(), {kind, target, fencing, true, interrupted, 0}, clock.wall());
     log_event("standin", log_level::info, "order",
               {{"kind", kind}, {"target", target}, {"fencing", fencing}});
     return json_response(200, "{}");
--- a/src/standins/internal/engine_state.h
+++ b/src/standins/internal/engine_state.h
@@ -57,6 +57,8 @@
     std::string refusal_cause(const http_request& request, const chat_request& chat);
     http_response cancel(const std::string& id);
     http_response load_report() const;
+    /// Requests of the model that are in progress or wait.
+    int requests_of(const std::string& name) const;
     http_response take_order(const std::string& body);
     http_response kv_block(const http_request& request, const std::string& name);
     http_response change_settings(const std::string& body);
@@ -76,6 +78,7 @@
     std::int64_t highest_fencing = 0;
     std::uint64_t orders_taken = 0;
     std::uint64_t orders_refused = 0;
+    bool serves_any_model = false; ///< no model was given at the start, and none unloaded since
     bool is_leaving = false;
     bool is_stopped = false;
     steady_time last_tick{};
--- a/src/standins/internal/journal.cpp
+++ b/src/standins/internal/journal.cpp
@@ -37,6 +37,20 @@
     }
 }
 
+void note_order(journal& log, journal_order order, system_time now)
+{
+    order.at_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    if (log.file.is_open()) {
+        log.file << "order " << order.kind << ' ' << order.target << ' ' << order.fencing << ' '
+                 << (order.is_taken ? "taken" : "refused") << ' ' << order.interrupted << ' '
+                 << order.at_ms << std::endl;
+    }
+    if (log.orders.size() < max_journal_entries) {
+        log.orders.push_back(std::move(order));
+    }
+}
+
 void note_run(journal& log, const std::string& request_id)
 {
     ++entry_of(log, request_id).ran;
@@ -61,8 +75,18 @@
         line["arrived_ms"] = json::array(it.arrived_ms.begin(), it.arrived_ms.end());
         requests.emplace_back(std::move(line));
     }
+    json::array orders;
+    for (const auto& it : log.orders) {
+        orders.push_back(json::object{{"kind", it.kind},
+                                      {"target", it.target},
+                                      {"fencing", it.fencing},
+                                      {"taken", it.is_taken},
+                                      {"interrupted", it.interrupted},
+                                      {"at_ms", it.at_ms}});
+    }
     json::object out;
     out["requests"] = std::move(requests);
+    out["orders"] = std::move(orders);
     out["dropped"] = log.dropped;
     return json::serialize(out);
 }
--- a/src/standins/internal/journal.h
+++ b/src/standins/internal/journal.h
@@ -22,9 +22,20 @@
     std::vector<std::int64_t> arrived_ms; ///< wall-clock times of the dispatches, Unix epoch
 };
 
+/// Order that an engine was given.
+struct journal_order {
+    std::string kind;
+    std::string target;
+    std::int64_t fencing = 0;
+    bool is_taken = false;
+    int interrupted = 0;    ///< requests of the target model in the engine when it was unloaded
+    std::int64_t at_ms = 0; ///< wall-clock time, Unix epoch
+};
+
 /// Requests by id. Holds at most max_journal_entries; later ids are counted as dropped.
 struct journal {
     std::unordered_map<std::string, journal_entry> entries;
+    std::vector<journal_order> orders; ///< in the order of arrival
     std::uint64_t dropped = 0;
     std::ofstream
         file; ///< if open: a line for each dispatch and run, for processes that are killed
@@ -36,6 +47,7 @@
 journal_entry& entry_of(journal& log, const std::string& request_id);
 void note_dispatch(journal& log, const std::string& request_id, std::string digest,
                    system_time now);
+void note_order(journal& log, journal_order order, system_time now);
 /// Counts the start of processing.
 void note_run(journal& log, const std::string& request_id);
 std::string to_json(const journal& log);
--- a/src/standins/tests/engine_contract_test.cpp
+++ b/src/standins/tests/engine_contract_test.cpp
@@ -178,6 +178,33 @@
     }
 }
 
+// Guards against checks of placement that pass because the journal lacks a fact.
+TEST_CASE("the journal has each order, and the requests that an unload would interrupt")
+{
+    auto options = fast_engine();
+    options.models = {"m"};
+    options.speed.decode_rate = 20;
+    fixture f{options};
+    const auto order = [](const std::string& kind, int fencing) {
+        return http_request{"POST",
+                            "/v1/orders",
+                            {},
+                            R"({"kind":")" + kind + R"(","target":"m","fencing":)" +
+                                std::to_string(fencing) + "}"};
+    };
+    f.call(order("unload-model", 7));
+    f.call(order("load-model", 7));
+    f.call(order("role", 6));
+    f.call_all({chat_call("r1", "a", 8, false), order("unload-model", 7)});
+    const auto body = f.call("GET", "/standin/journal").response.body;
+    CHECK(contains(
+        body, R"("kind":"unload-model","target":"m","fencing":7,"taken":true,"interrupted":0)"));
+    CHECK(contains(body, R"("kind":"role","target":"m","fencing":6,"taken":false)"));
+    CHECK(contains(
+        body, R"("kind":"unload-model","target":"m","fencing":7,"taken":true,"interrupted":1)"));
+    CHECK(contains(f.call("GET", "/v1/load").response.body, R"("models":[])"));
+}
+
 TEST_CASE("orders with an old fencing number are refused, or taken by engines that ignore it")
 {
     for (const bool checks : {true, false}) {
--- a/tests/faults/checks.py
+++ b/tests/faults/checks.py
@@ -13,6 +13,8 @@
 ASK_MARGIN_S = 0.1
 # The driver polls the versions in force with this distance at most.
 POLL_MARGIN_S = 0.5
+# The journals of two engines have their times in whole milliseconds.
+ORDER_MARGIN_S = 0.002
 # Share of the time limit from which a refusal leaves the caller no time for another attempt.
 LATE_REFUSAL_SHARE = 0.8
 # Codes of refusals that drop a request to make room.
@@ -166,6 +168,32 @@
             and it.ended - it.sent > LATE_REFUSAL_SHARE * it.time_limit]
 
 
+def orders_of_older_holders(seen):
+    """An order that took effect after one of a newer holder, at the same engine or at another."""
+    found = []
+    highest = defaultdict(int)
+    first_taken = {}
+    taken = [it for it in seen.orders if it.is_taken]
+    for it in taken:
+        first_taken[it.fencing] = min(first_taken.get(it.fencing, it.at), it.at)
+    for it in taken:
+        if it.fencing < highest[it.engine]:
+            found.append(f"{it.engine} took {it.kind} {it.target} of holder {it.fencing} after one "
+                         f"of holder {highest[it.engine]}")
+        highest[it.engine] = max(highest[it.engine], it.fencing)
+        newer = [number for number, at in first_taken.items()
+                 if number > it.fencing and it.at > at + ORDER_MARGIN_S]
+        if newer:
+            found.append(f"{it.engine} took {it.kind} {it.target} of holder {it.fencing} after "
+                         f"holder {newer[0]} had sent orders to engines")
+    return found
+
+
+def interrupted_by_unload(seen):
+    return [f"{it.engine} unloaded {it.target} with {it.interrupted} requests in progress"
+            for it in seen.orders if it.is_taken and it.interrupted > 0]
+
+
 CHECKS = {
     "dispatched twice": dispatched_twice,
     "ran twice": ran_twice,
@@ -178,6 +206,8 @@
     "manifests late": late_manifests,
     "work after leaving": work_after_leaving,
     "interrupted by stop": interrupted_by_stop,
+    "orders of older holders": orders_of_older_holders,
+    "interrupted by unload": interrupted_by_unload,
     "refusals without Retry-After": refusals_without_retry_after,
     "refusals late": late_refusals,
 }
--- a/tests/faults/checks_test.py
+++ b/tests/faults/checks_test.py
@@ -9,7 +9,8 @@
 
 from faults.checks import CHECKS, run_checks  # noqa: E402
 from faults.records import (CallRecord, JournalLine, Leaving, Observations,  # noqa: E402
-                            PlannedStop, Publication, VersionSeen, read_journal)
+                            OrderRecord, PlannedStop, Publication, VersionSeen, read_journal,
+                            read_orders)
 
 
 def good_call(number, tier=1, sent=100.0, ended=101.0, **changes):
@@ -32,11 +33,17 @@
                        [arrived])
 
 
+def order(fencing, engine="engine-0", kind="role", at=100.0, is_taken=True, interrupted=0):
+    return OrderRecord(engine, kind, "draining", fencing, is_taken, interrupted, at)
+
+
 def good_run():
     return Observations(
         calls=[good_call(1), good_call(2, tier=2), refused_call(3)],
         journal=[line(1), line(2)],
         stops=[PlannedStop("entry-1", 100.5)],
+        orders=[order(7, at=100.0), order(7, kind="unload-model", at=101.0), order(9, at=102.0),
+                order(7, at=103.0, is_taken=False), order(9, engine="engine-1", at=103.0)],
         leaving=[Leaving("engine-1", 90.0)],
         versions=[VersionSeen("entry-0", 0, 99.0, 1), VersionSeen("entry-0", 0, 103.0, 2)],
         publications=[Publication(2, 100.0)])
@@ -78,6 +85,10 @@
         good_call(4, entry="entry-1", status=0, answer="", is_complete=False, error="reset"))),
     ("interrupted by stop", "stream broke", lambda s: s.calls.append(
         good_call(4, entry="entry-1", answer="a ", is_complete=False, error="reset"))),
+    ("orders of older holders", "same engine", lambda s: s.orders.append(order(8, at=102.0))),
+    ("orders of older holders", "engine that the newer one did not order", lambda s: (
+        s.orders.append(order(7, engine="engine-2", at=102.5)))),
+    ("interrupted by unload", "two requests", lambda s: setattr(s.orders[1], "interrupted", 2)),
     ("refusals without Retry-After", "none given", lambda s: setattr(
         s.calls[2], "retry_after", "")),
     ("refusals late", "near the deadline", lambda s: setattr(s.calls[2], "ended", 119.0)),
@@ -135,6 +146,14 @@
                 change(seen)
                 self.assertEqual(run_checks(seen), {})
 
+    def test_journal_of_orders(self):
+        lines = ["dispatch a d1 1000", "order unload-model m 7 taken 2 1500",
+                 "order role draining 6 refused 0 1600"]
+        self.assertEqual(read_orders("engine-0", lines), [
+            OrderRecord("engine-0", "unload-model", "m", 7, True, 2, 1.5),
+            OrderRecord("engine-0", "role", "draining", 6, False, 0, 1.6)])
+        self.assertEqual([it.request_id for it in read_journal("engine-0", lines)], ["a"])
+
     def test_journal_counts_dispatches_and_runs_per_id(self):
         lines = ["dispatch a d1 1000", "run a", "dispatch b d2 1500", "dispatch a d1 2000", "run"]
         first, second = read_journal("engine-0", lines)
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -46,6 +46,19 @@
     arrived: list = field(default_factory=list)  # Unix seconds
 
 
+@dataclass
+class OrderRecord:
+    """Order to an engine, in the order of its journal."""
+
+    engine: str
+    kind: str
+    target: str
+    fencing: int  # number of the holder's record
+    is_taken: bool
+    interrupted: int  # requests of the model in the engine when it was unloaded
+    at: float  # Unix seconds
+
+
 @dataclass
 class PlannedStop:
     entry: str
@@ -77,6 +90,7 @@
 class Observations:
     calls: list = field(default_factory=list)
     journal: list = field(default_factory=list)
+    orders: list = field(default_factory=list)
     stops: list = field(default_factory=list)
     leaving: list = field(default_factory=list)
     versions: list = field(default_factory=list)
@@ -88,7 +102,7 @@
     found = {}
     for text in lines:
         words = text.split()
-        if len(words) < 2:
+        if len(words) < 2 or words[0] == "order":
             continue
         line = found.setdefault(words[1], JournalLine(backend, words[1], "", 0, 0))
         if words[0] == "dispatch" and len(words) == 4:
@@ -98,3 +112,13 @@
         elif words[0] == "run":
             line.ran += 1
     return list(found.values())
+
+
+def read_orders(engine, lines):
+    found = []
+    for text in lines:
+        words = text.split()
+        if len(words) == 7 and words[0] == "order":
+            found.append(OrderRecord(engine, words[1], words[2], int(words[3]),
+                                     words[4] == "taken", int(words[5]), int(words[6]) / 1000))
+    return found
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -8,7 +8,7 @@
 
 from faults.load import AddressBook, Load
 from faults.records import (Leaving, Observations, PlannedStop, Publication, VersionSeen,
-                            read_journal)
+                            read_journal, read_orders)
 from support import http_client
 from support.fleet import DOMAINS, Fleet
 from support.manifests import ENGINE_CLASSES, make_manifest
@@ -20,6 +20,7 @@
 WATCH_AFTER_END_S = 2.5
 CALLERS = 18
 LOG_TIME = re.compile(r"time=(\S+)")
+LOG_FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
 
 
 def parse_log_time(line):
@@ -46,11 +47,17 @@
         self.incarnations = {}
         self.paused = {}  # entry -> time from which it is polled again
         self.watched = {}  # entry -> time at which it was no longer listed
+        self.placements = self._first_of("placements")
+        self.fleet.entry_settings = self._first_of("entry_settings")
         self.injected = 0.0
+        self.taken_over = 0.0  # when a new placement holder was seen
         self.lifted = 0.0
         self.load = None
         self.is_over = threading.Event()
 
+    def _first_of(self, attribute):
+        return next((getattr(it, attribute) for it in self.failures if getattr(it, attribute)), [])
+
     # What the failures call.
 
     def fail(self, check, text):
@@ -60,14 +67,34 @@
         self.version = version
         self.seen.publications.append(Publication(version, time.time()))
 
-    def publish_next(self):
-        done = self.fleet.publish(make_manifest(f"version-{self.version + 1}", max_waiting=40),
-                                  self.version)
+    def publish_next(self, placements=None):
+        self.placements = placements or self.placements
+        manifest = make_manifest(f"version-{self.version + 1}", max_waiting=40,
+                                 placements=self.placements)
+        done = self.fleet.publish(manifest, self.version)
         if done.returncode == 0:
             self.note_publication(self.version + 1)
         else:
             self.fail("publication", f"exit code {done.returncode}: {done.stderr.strip()}")
 
+    def close_gates(self):
+        for it in self.fleet.gates.values():
+            it.close()
+
+    def open_gates(self):
+        for it in self.fleet.gates.values():
+            it.open()
+
+    def read_orders(self):
+        return [it for name in self.fleet.engines
+                for it in read_orders(name, self.fleet.read_journal_lines(name))]
+
+    def decisions_of(self, entry):
+        """Placement decisions in the log of an entry, as dictionaries of their fields."""
+        path = self.fleet.directory / f"{entry}.log"
+        lines = path.read_text(errors="replace").splitlines() if path.exists() else []
+        return [dict(LOG_FIELD.findall(it)) for it in lines if "event=placement-decision" in it]
+
     def note_stop(self, entry):
         self.pause_polling(entry)
         self.seen.stops.append(PlannedStop(entry, time.time()))
@@ -158,8 +185,13 @@
 
     def _start(self):
         self.fleet.start_platform()
+        count = len(ENGINE_CLASSES)
+        domains = self._first_of("engine_domains") or [DOMAINS[i % 3] for i in range(count)]
+        options = self._first_of("engine_options") or [()] * count
+        is_gated = any(it.uses_gates for it in self.failures)
         for i, engine_class in enumerate(ENGINE_CLASSES):
-            self.fleet.start_engine(f"engine-{i}", engine_class, DOMAINS[i % 3])
+            self.fleet.start_engine(f"engine-{i}", engine_class, domains[i], options[i],
+                                    is_gated=is_gated)
         self.fleet.start_plain("booking-0", DOMAINS[0])
         self.publish_next()
         for i in range(6):
@@ -198,6 +230,7 @@
             poller.join(10)
             for name in [*self.fleet.engines, *self.fleet.plains]:
                 self.seen.journal += read_journal(name, self.fleet.read_journal_lines(name))
+            self.seen.orders = self.read_orders()
             self.row = self._make_row()
         return self.problems
 
--- a/tests/faults/scenarios.py
+++ b/tests/faults/scenarios.py
@@ -7,25 +7,12 @@
 import signal
 import subprocess
 
+from faults.failure import Failure
+from faults.placement import (PlacementHolderFrozen, PlacementHolderKilled,
+                              PlacementHoldersRacing)
 from support.manifests import make_manifest
 
 
-class Failure:
-    name = ""
-    hold_s = 2.5  # time between begin and end
-    disturbs_platform = False  # no publication can be expected to succeed meanwhile
-
-    def begin(self, run):
-        raise NotImplementedError
-
-    def end(self, run):
-        pass
-
-    def detected_s(self, run):
-        """Seconds from the injection to its detection, None if that is not observable."""
-        return None
-
-
 class EntryFailure(Failure):
     entry = "entry-1"
 
@@ -290,7 +277,8 @@
 SINGLE = [EntryKilled, EntryFrozen, EntryStopped, EngineKilled, EngineFrozen, EngineLeaving,
           EngineSlow, StreamCut, ConnectionsSilent, AnswersLost, ConnectionsRefused,
           AdmissionRefused, PlatformOutage, PlatformSlow, StoreAnswersLost, ListLagging,
-          OperatorsRacing, LowestTierFlood, HighestTierFlood]
+          OperatorsRacing, LowestTierFlood, HighestTierFlood, PlacementHolderFrozen,
+          PlacementHolderKilled, PlacementHoldersRacing]
 
 PAIRS = [(LowestTierFlood, EngineKilled), (HighestTierFlood, EntryKilled),
          (EntryKilled, EngineKilled), (PlatformOutage, EntryKilled), (PlatformOutage, EngineKilled),
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -9,6 +9,7 @@
 
 from support import http_client, manifests
 from support.chat import sha256
+from support.gate import Gate
 from support.process import Process, StartError, find_free_port, program
 
 DOMAINS = ["domain-a", "domain-b", "domain-c"]
@@ -37,6 +38,8 @@
         self.entries = {}
         self.records = {}  # lines of the instance list by id
         self.started = []
+        self.gates = {}  # by engine
+        self.entry_settings = []  # further lines of the entries' settings
         self.key_file = self.directory / "operator-key"
         self.key_file.write_text(manifests.OPERATOR_KEY)
 
@@ -71,7 +74,8 @@
         record = {**self.records[instance_id], "state": state}
         return http_client.call(self.platform.address, "PUT", target, body=record)
 
-    def start_engine(self, name, engine_class, domain, options=(), listen="127.0.0.1:0"):
+    def start_engine(self, name, engine_class, domain, options=(), listen="127.0.0.1:0",
+                     is_gated=False):
         prefill, decode, kv_tokens, batch = manifests.ENGINE_CLASSES[engine_class]
         engine = self._start(name, [
             self._program("standin-engine"), "--listen", listen, "--model", manifests.MODEL,
@@ -80,8 +84,12 @@
             "--journal", str(self.journal_path(name)), *options])
         engine.wait_for_address()
         self.engines[name] = engine
+        address = engine.address
+        if is_gated:
+            self.gates[name] = Gate(engine.address)
+            address = self.gates[name].address
         self._register({"id": name, "role": "backend", "service": "assistant",
-                        "engine_class": engine_class, "address": engine.address,
+                        "engine_class": engine_class, "address": address,
                         "failure_domain": domain})
         return engine
 
@@ -101,7 +109,8 @@
             f"operator_key_hash = {sha256(manifests.OPERATOR_KEY)}", "drain_limit = 30s",
             f"drain_grace = {drain_grace}",
             "[store]", f"addresses = {self.platform.address}", "timeout = 2s",
-            "[list]", f"address = {self.platform.address}", "poll = 500ms", ""])
+            "[list]", f"address = {self.platform.address}", "poll = 500ms",
+            *self.entry_settings, ""])
 
     def start_entry(self, name, domain, drain_grace="1s"):
         """Starts an entry instance. It is ready once a manifest is in force."""
@@ -181,7 +190,12 @@
     def change_settings(self, process, **settings):
         return http_client.call(process.address, "POST", "/standin/settings", body=settings)
 
+    def engine_state(self, name):
+        return http_client.call(self.engines[name].address, "GET", "/standin/state").json()
+
     def stop(self):
+        for it in self.gates.values():
+            it.end()
         # Entry instances first, while what they still need is there. All at once: each has its
         # own time to finish requests in progress.
         entries = list(self.entries.values())
--- a/tests/support/manifests.py
+++ b/tests/support/manifests.py
@@ -6,6 +6,7 @@
 ACCOUNTS = ["north", "south", "east"]
 OPERATOR_KEY = "operator-key-for-tests"
 MODEL = "almond-small"
+LARGE_MODEL = "almond-large"
 
 # Speeds of four unlike generations of engines: prefill and decode in tokens/s, KV tokens, batch.
 ENGINE_CLASSES = {
@@ -20,8 +21,9 @@
     return f"key-of-{account}-for-tests"
 
 
-def make_manifest(name="small", max_waiting=200, deadline_ms=20_000):
-    return {
+def make_manifest(name="small", max_waiting=200, deadline_ms=20_000, placements=()):
+    """With placements, the model service has all of their models."""
+    manifest = {
         "schema": 1,
         "name": name,
         "tiers": [
@@ -57,7 +59,7 @@
             {
                 "name": "assistant",
                 "type": "model",
-                "models": [MODEL],
+                "models": [it["model"] for it in placements] or [MODEL],
                 "default_tier": "standard",
                 "default_kind": "chat",
                 "deadline_ms": deadline_ms,
@@ -78,3 +80,6 @@
             },
         ],
     }
+    if placements:
+        manifest["placements"] = list(placements)
+    return manifest
