--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -27,8 +28,8 @@
 
 class Fleet:
     def __init__(self, directory=None, preset=None):
-        self.temporary = None if directory else tempfile.TemporaryDirectory(prefix="almondline-")
-        self.directory = Path(directory or self.temporary.name)
+        self.is_temporary = directory is None
+        self.directory = Path(directory or tempfile.mkdtemp(prefix="almondline-"))
         self.directory.mkdir(parents=True, exist_ok=True)
         self.preset = preset
         self.platform = None
@@ -192,5 +193,5 @@
         for process in entries + [it for it in self.started if it not in entries]:
             process.stop()
         self.started.clear()
-        if self.temporary and not os.environ.get("ALMONDLINE_KEEP_LOGS"):
-            self.temporary.cleanup()
+        if self.is_temporary and not os.environ.get("ALMONDLINE_KEEP_LOGS"):
+            shutil.rmtree(self.directory, ignore_errors=True)
