--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -102,7 +102,8 @@
     learn_class(table.classes[of.class_index], alone);
 }
 
-/// Marks the fastest replicas whose slots make up the share for headroom.
+/// Marks the fastest replicas whose slots make up the share for headroom, rounded up to whole
+/// replicas. A pool too small for that has none: one replica of two would be half of it.
 void mark_headroom(replica_table& table)
 {
     std::vector<replica*> present;
@@ -119,8 +120,9 @@
     });
     int kept = 0;
     for (replica* each : present) {
-        // A pool of one replica has none to spare.
-        if (kept >= table.config.headroom_share * all || each == present.back()) {
+        const int kept_with_it = kept + each->spec.max_in_flight;
+        if (kept >= table.config.headroom_share * all ||
+            kept_with_it > table.config.max_headroom_share * all) {
             return;
         }
         each->keeps_headroom = true;
@@ -179,6 +181,7 @@
         // Another process, with an empty cache.
         forget_all_blocks(table, index_of(table, *known));
         known->is_leaving = false;
+        known->is_kv_reported = false;
     }
     known->spec = spec;
     known->class_index = find_class(table, spec.engine_class, spec.decode_rate);
@@ -189,6 +192,9 @@
     if (is_new_class) {
         known->prefill_rate = known->spec.prefill_rate;
         known->decode_rate = known->spec.decode_rate;
+        known->is_kv_reported = false;
+    }
+    if (!known->is_kv_reported) {
         known->kv_capacity = spec.kv_tokens;
     }
     mark_headroom(table);
@@ -339,6 +345,7 @@
         std::max(0, report.running + report.waiting - own_in_flight_at(*of, taken));
     if (report.kv_capacity_tokens > 0) {
         of->kv_capacity = report.kv_capacity_tokens;
+        of->is_kv_reported = true;
     }
 }
 
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -65,7 +65,8 @@
     double prefill_rate = 0; ///< learned, tokens per second
     double decode_rate = 0;  ///< learned, tokens per second of a stream that runs alone
     double kv_capacity = 0;  ///< tokens, as reported or else as specified; 0: not limited
-    bool keeps_headroom = false;   ///< one of the fastest, see routing_config::headroom_share
+    bool keeps_headroom = false; ///< one of the fastest, see routing_config::headroom_share
+    bool is_kv_reported = false;
     int in_flight = 0;             ///< own work, known at once
     double kv_tokens_used = 0;     ///< reserved by own work
     steady_time prefill_free_at{}; ///< when the prefill of own work is expected to be done
@@ -117,7 +118,8 @@
     /// while these have demand. On a full replica a prompt takes several times as long as on an
     /// idle one, whatever the order in the queue.
     double headroom_share = 0.15;
-    double kv_headroom = 0.95; ///< share of the KV capacity that is filled
+    double max_headroom_share = 0.4; ///< after rounding up to whole replicas
+    double kv_headroom = 0.95;       ///< share of the KV capacity that is filled
     /// Slowdown of each stream when max_in_flight streams run, over one that runs alone.
     double batch_slowdown = 1.0;
     /// Weight of decode time in a score, against time to the first token. At equal weight the fast
--- a/src/scheduling/types/queue_state.h
+++ b/src/scheduling/types/queue_state.h
@@ -99,6 +99,13 @@
     std::map<std::uint64_t, waiting_ask*> asks; ///< by sequence
 };
 
+/// Latest arrivals of accounts without a backlog: of one account, and of all others.
+struct prompt_demand {
+    steady_time last{};
+    const account_state* account = nullptr; ///< of the last one; for comparison only
+    steady_time last_of_others{};
+};
+
 struct tier_queue {
     int rank = 0;
     std::string name;
@@ -108,12 +115,12 @@
     ordered_index<kind_queue> order; ///< active kinds by start tag
     std::map<std::string, tier_account, std::less<>> accounts;
     ordered_index<tier_account> by_load; ///< accounts with waiting asks, by cost over weight
-    std::set<std::pair<steady_time, std::uint64_t>> by_latest_start; ///< with the sequence
+    std::set<std::tuple<steady_time, std::uint64_t, waiting_ask*>> by_latest_start;
     std::size_t waiting = 0;
     double waiting_cost = 0;
-    steady_time last_prompt_arrival{}; ///< of an account without a backlog
-    double active_weight = 0;          ///< sum over accounts with waiting asks
-    decaying_rate arrivals{};          ///< cost per second, refused asks excluded
+    prompt_demand prompt;
+    double active_weight = 0; ///< sum over accounts with waiting asks
+    decaying_rate arrivals{}; ///< cost per second, refused asks excluded
 };
 
 /// An ask between pick() and finish().
@@ -137,8 +144,7 @@
     std::vector<tier_queue> tiers; ///< never resized after make_queue()
     std::map<std::string, floor_state, std::less<>> kind_floors;
     std::unordered_map<std::string, account_state> accounts;
-    std::unordered_map<std::string, waiting_ask> waiting; ///< by request id
-    std::unordered_map<std::uint64_t, waiting_ask*> by_sequence;
+    std::unordered_map<std::string, waiting_ask> waiting;    ///< by request id
     std::unordered_map<std::string, running_record> running; ///< by request id
     std::uint64_t next_sequence = 1ULL << 32U;
     std::uint64_t front_sequence = 1ULL << 32U; ///< counts down, for asks put back
