Keep wait_closed() from blocking a traffic thread

Its credit was granted and delivered, but its coroutine never ran again: wait_closed() peeks at the socket after an event, and a synchronous read of an Asio socket blocks in poll() unless non_blocking(true) was set. With two traffic threads a stale event of the request's own bytes ends the wait, the read blocks, and the thread with all its connections stops until the caller closes. Ruled out by the logs: a lost grant (resent after 1 s), the deadline (a refusal after 20 s was posted to the same thread), the channel. Conclusion: the test may pass with the fault present, but never fails without it.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -290,6 +290,8 @@
 {
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay{true}, ec);
+    // wait_closed() reads without waiting; in Asio a read of a socket without this mode blocks.
+    socket.non_blocking(true, ec);
     beast::tcp_stream stream{std::move(socket)};
     beast::flat_buffer buf;
     bool can_continue = true;
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -3,10 +3,16 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <thread>
+#include <vector>
 
 using namespace almondline;
 namespace asio = boost::asio;
@@ -103,6 +109,44 @@
     CHECK(result.progress == http_progress::not_connected);
 }
 
+// Guards against a blocking read in wait_closed(): an event of the request's own bytes may end the
+// wait late, when another thread has read them, and a read that blocks then stops a thread of the
+// server.
+TEST_CASE("waiting for the caller to close blocks no thread of the server")
+{
+    using namespace asio::experimental::awaitable_operators;
+    constexpr int callers = 64;
+    constexpr int calls_each = 150;
+    asio::io_context io;
+    const auto handler = [](http_exchange& exchange) -> asio::awaitable<void> {
+        asio::steady_timer timer{co_await asio::this_coro::executor, std::chrono::milliseconds{1}};
+        co_await (timer.async_wait(asio::use_awaitable) || exchange.wait_closed());
+        co_await exchange.reply(json_response(200, "{}"));
+    };
+    http_server server{io, {"127.0.0.1", 0}, {}, handler};
+    asio::io_context caller_io;
+    int answered = 0;
+    const auto call = [&](int count) -> asio::awaitable<void> {
+        const endpoint_text address{"127.0.0.1", server.port()};
+        const http_timeouts timeouts;
+        const http_request request;
+        for (int i = 0; i < count; ++i) {
+            const auto result = co_await call_http(address, request, timeouts);
+            answered += result.progress == http_progress::complete ? 1 : 0;
+        }
+    };
+    for (int i = 0; i < callers; ++i) {
+        asio::co_spawn(caller_io, call(calls_each), asio::detached);
+    }
+    std::vector<std::jthread> threads;
+    for (int i = 0; i < 2; ++i) {
+        threads.emplace_back([&] { io.run(); });
+    }
+    caller_io.run();
+    io.stop();
+    CHECK(answered == callers * calls_each);
+}
+
 TEST_CASE("query_parameter decodes escapes and tells missing parameters")
 {
     CHECK(query_parameter("/a?x=1&name=a%2Fb", "name") == "a/b");
