--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -371,3 +371,24 @@
     f.clock.advance(f.table.config.probe_interval);
     CHECK(f.chosen(make_request("r")) == "a");
 }
+
+TEST_CASE("a changed KV capacity of a known replica takes effect unless its engine reported one")
+{
+    fixture f{make_spec("a")};
+    auto spec = make_spec("a");
+    spec.kv_tokens = 2'000;
+    update_replica(f.table, spec, f.clock.now());
+    CHECK(f.table.replicas[0].kv_capacity == 2'000);
+
+    load_report report;
+    report.kv_capacity_tokens = 5'000;
+    on_load_report(f.table, "a", report, f.clock.now());
+    spec.kv_tokens = 3'000;
+    update_replica(f.table, spec, f.clock.now());
+    CHECK(f.table.replicas[0].kv_capacity == 5'000);
+
+    // Another process at a new address has not reported anything yet.
+    spec.address = "10.0.0.2:80";
+    update_replica(f.table, spec, f.clock.now());
+    CHECK(f.table.replicas[0].kv_capacity == 3'000);
+}
