--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -283,27 +283,6 @@
     CHECK(count_slots(f.table, f.clock.now()).free_headroom == 0);
 }
 
-TEST_CASE("a changed KV capacity of a known replica takes effect unless its engine reported one")
-{
-    fixture f{make_spec("a")};
-    auto spec = make_spec("a");
-    spec.kv_tokens = 2'000;
-    update_replica(f.table, spec, f.clock.now());
-    CHECK(f.table.replicas[0].kv_capacity == 2'000);
-
-    load_report report;
-    report.kv_capacity_tokens = 5'000;
-    on_load_report(f.table, "a", report, f.clock.now());
-    spec.kv_tokens = 3'000;
-    update_replica(f.table, spec, f.clock.now());
-    CHECK(f.table.replicas[0].kv_capacity == 5'000);
-
-    // Another process at a new address has not reported anything yet.
-    spec.address = "10.0.0.2:80";
-    update_replica(f.table, spec, f.clock.now());
-    CHECK(f.table.replicas[0].kv_capacity == 3'000);
-}
-
 // Guards against requests for a model at a replica that lacks it or is to be unloaded.
 TEST_CASE("only replicas with the request's model are chosen")
 {
@@ -371,3 +350,45 @@
     report(0);
     CHECK(unfinished() == 0);
 }
+
+// Guards against a short break that keeps a server out of use for the longest probe interval,
+// because each of its requests failed.
+TEST_CASE("requests that fail together are one failure")
+{
+    fixture f{make_spec("a")};
+    for (int n = 0; n < 6; ++n) {
+        REQUIRE(f.dispatch() == "a");
+    }
+    for (int n = 0; n < 6; ++n) {
+        on_failure(f.table, "a", "r" + std::to_string(n), f.clock.now());
+    }
+    CHECK(f.chosen(make_request("r")).empty());
+    f.clock.advance(f.table.config.probe_interval);
+    REQUIRE(f.dispatch() == "a");
+    on_failure(f.table, "a", "r6", f.clock.now());
+    f.clock.advance(f.table.config.probe_interval);
+    CHECK(f.chosen(make_request("r")).empty()); // a failed probe doubles the interval
+    f.clock.advance(f.table.config.probe_interval);
+    CHECK(f.chosen(make_request("r")) == "a");
+}
+
+TEST_CASE("a changed KV capacity of a known replica takes effect unless its engine reported one")
+{
+    fixture f{make_spec("a")};
+    auto spec = make_spec("a");
+    spec.kv_tokens = 2'000;
+    update_replica(f.table, spec, f.clock.now());
+    CHECK(f.table.replicas[0].kv_capacity == 2'000);
+
+    load_report report;
+    report.kv_capacity_tokens = 5'000;
+    on_load_report(f.table, "a", report, f.clock.now());
+    spec.kv_tokens = 3'000;
+    update_replica(f.table, spec, f.clock.now());
+    CHECK(f.table.replicas[0].kv_capacity == 5'000);
+
+    // Another process at a new address has not reported anything yet.
+    spec.address = "10.0.0.2:80";
+    update_replica(f.table, spec, f.clock.now());
+    CHECK(f.table.replicas[0].kv_capacity == 3'000);
+}
