Probe a lone failed server at a steady interval

Growing intervals spare requests only while another replica takes them. Ruled out: the frozen engine (its own pool kept answering), the instance list, ownership of the pool (logs). Conclusion: the interval grows only while there is an alternative.

--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -169,6 +169,14 @@
     return true;
 }
 
+bool has_healthy_other(const replica_table& table, const replica& of)
+{
+    return std::any_of(table.replicas.begin(), table.replicas.end(), [&](const replica& each) {
+        return &each != &of && each.is_present && !each.is_leaving && !each.spec.is_leaving &&
+               each.health == replica_health::healthy;
+    });
+}
+
 /// Gives back the prefill time of a request that will not be computed.
 void return_prefill(replica& of, const dispatched_work& work)
 {
@@ -347,7 +355,10 @@
     }
     of->health = replica_health::eased;
     of->failures += 1;
-    const int doublings = std::min(of->failures - 1, 10);
+    // Probing less often spares requests only while another replica takes them. Without one, each
+    // request is refused until a probe succeeds.
+    const bool is_replaceable = has_healthy_other(table, *of);
+    const int doublings = is_replaceable ? std::min(of->failures - 1, 10) : 0;
     of->next_probe =
         now + std::min<std::chrono::milliseconds>(table.config.probe_interval * (1 << doublings),
                                                   table.config.max_probe_interval);
