Keep the peek for a closed caller from blocking a traffic thread

Cause: wait_closed peeks with a synchronous receive after a readiness event. Asio may deliver an old event, of data that an earlier read took; on a socket that is not in non-blocking mode the peek then waits inside the traffic thread until the caller closes. Seen by scripts/faults.sh as calls without answer and error for 25 s: their dispatch credit had been granted and confirmed, but the strand that should receive it was blocked. It needs two traffic threads, which the test fleets use since.

The race can not be forced from a unit test, so the fault runs guard against it.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -290,6 +290,9 @@
 {
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay{true}, ec);
+    // wait_closed peeks after a readiness event. The event may be an old one, of data that was read
+    // since; on a blocking socket the peek would then block the thread until the caller closes.
+    socket.non_blocking(true, ec);
     beast::tcp_stream stream{std::move(socket)};
     beast::flat_buffer buf;
     bool can_continue = true;
