--- a/src/entry/request_parser.cpp
+++ b/src/entry/request_parser.cpp
@@ -104,7 +104,6 @@
                                const account_policy& account, const service_policy& service,
                                caller_request& out)
 {
-    out.request_id = random_id();
     out.account = account.name;
     out.service = service.name;
     out.type = service.type;
