Measure control cost by fleet size

Writes control.tsv and control.svg.

Ruled out: plot_svg of the policy comparison, whose bars share one scale, while these lines have different units.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds and runs the measurements: scripts/measure.sh [policy|slopes] [OPTION...] (default: both)
+# Builds and runs the measurements: scripts/measure.sh [policy|slopes|control] [OPTION...] (default: policy, slopes)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh release
--- /dev/null
+++ b/src/bench/internal/control_granting.cpp
@@ -0,0 +1,277 @@
+#include "bench/internal/control_line.h"
+#include "granting/asker.h"
+#include "granting/granter.h"
+#include "granting/internal/messages.h"
+#include "peer/wire.h"
+#include "routing/routing.h"
+
+#include <map>
+#include <memory>
+#include <queue>
+#include <utility>
+
+namespace almondline::bench {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds tick{50};
+constexpr milliseconds warm_up{40'000};
+constexpr milliseconds measured{60'000};
+constexpr milliseconds deadline{60'000};
+/// 22 million tokens/s over 70,000 requests/s are 314 tokens, at 40 ms between tokens.
+constexpr milliseconds service{12'600};
+constexpr int holders = 4;
+constexpr int replicas = 3;
+/// Mean prompt of the workload of the policy comparison, in blocks of 16 tokens.
+constexpr int prompt_tokens = 2150;
+constexpr int prefix_blocks = prompt_tokens / 16;
+constexpr double steady_use = 0.8;   ///< share of the slots in use
+constexpr double overload_use = 2.0; ///< requests over what the slots can serve
+const std::string pool = "chat/region-1/0123";
+const std::string granter_id = "entry-0001";
+
+struct packet {
+    std::string from;
+    std::string to;
+    std::string frame;
+};
+
+/// Encodes each message, as the peer transport does.
+struct wire_sender final : peer_sender {
+    wire_sender(std::string id, std::vector<packet>& to) : from{std::move(id)}, sent{to} {}
+    void send(const std::string& instance_id, const wire::envelope& message) override
+    {
+        sent.push_back({from, instance_id, encode(message)});
+    }
+
+    std::string from;
+    std::vector<packet>& sent;
+};
+
+scheduling::queue_config make_rules()
+{
+    scheduling::queue_config config;
+    config.tiers = {{"t0", 0}, {"t1", 0.1}, {"t2", 0.1}, {"t3", 0.05}, {"t4", 0.05}};
+    config.max_waiting = 1000;
+    return config;
+}
+
+scheduling::ask make_ask(int number, steady_time now)
+{
+    scheduling::ask what;
+    what.request_id = "0123456789abcdef01234567" + std::to_string(10'000'000 + number);
+    what.account = "account-" + std::to_string(number % 840);
+    what.kind = "draft";
+    what.model = "model-1";
+    what.tier = number % 5;
+    what.cost = 2500;
+    what.prompt_tokens = prompt_tokens;
+    what.output_tokens = 314;
+    what.arrived = now;
+    what.deadline = now + deadline;
+    for (int i = 0; i < prefix_blocks; ++i) {
+        what.prefix_blocks.push_back(0x9e3779b97f4a7c15U *
+                                     static_cast<std::uint64_t>(number * prefix_blocks + i + 1));
+    }
+    return what;
+}
+
+void add_replicas(granting::granter& to, int count, int slots, steady_time now)
+{
+    for (int i = 0; i < count; ++i) {
+        routing::replica_spec spec;
+        spec.id = "backend-" + std::to_string(10'000 + i);
+        spec.address = "10.20.30.40:9000";
+        spec.engine_class = "generation-1";
+        spec.max_in_flight = std::max(1, slots / count);
+        routing::update_replica(to.replicas(), spec, now);
+    }
+}
+
+struct side_totals {
+    double messages = 0; ///< sent and received
+    double bytes = 0;
+    double processor_ns = 0;
+};
+
+/// One granter and several holders on other instances, in virtual time.
+class granting_run {
+public:
+    granting_run(double rate, double use)
+        : rate_{rate}, granter_sender_{granter_id, in_flight_},
+          decisions_{clock_}, granter_{{.instance_id = granter_id, .pool = pool},
+                                       make_rules(),
+                                       clock_,
+                                       granter_sender_,
+                                       decisions_}
+    {
+        const double seconds = std::chrono::duration<double>{service}.count();
+        add_replicas(granter_, replicas, static_cast<int>(rate * seconds / use), clock_.now());
+        for (int i = 0; i < holders; ++i) {
+            const std::string id = "entry-" + std::to_string(1000 + i);
+            senders_.push_back(std::make_unique<wire_sender>(id, in_flight_));
+            askers_.push_back(std::make_unique<granting::asker>(
+                granting::asker_settings{.instance_id = id}, clock_, *senders_.back(),
+                [](const std::string&) {
+                    return granting::pool_granter{granter_id, 1};
+                },
+                decisions_));
+            index_[id] = askers_.size() - 1;
+        }
+    }
+
+    void run()
+    {
+        run_for(warm_up);
+        granter_side = {};
+        holder_side = {};
+        requests = 0;
+        run_for(measured);
+    }
+
+    side_totals granter_side;
+    side_totals holder_side;
+    int requests = 0;
+
+private:
+    void run_for(milliseconds time)
+    {
+        for (milliseconds spent{0}; spent < time; spent += tick) {
+            clock_.advance(tick);
+            const auto due = std::exchange(in_flight_, {});
+            const double start = processor_ns();
+            for (const packet& it : due) {
+                if (it.to == granter_id) {
+                    granter_.handle(it.from, decode(it.frame));
+                }
+            }
+            granter_.tick(clock_.now());
+            const double middle = processor_ns();
+            for (const packet& it : due) {
+                if (it.to != granter_id) {
+                    askers_[index_.at(it.to)]->handle(it.from, decode(it.frame));
+                }
+            }
+            release_finished();
+            for (const auto& it : askers_) {
+                it->tick(clock_.now());
+            }
+            start_requests();
+            granter_side.processor_ns += middle - start;
+            holder_side.processor_ns += processor_ns() - middle;
+            count(due);
+        }
+    }
+
+    void count(const std::vector<packet>& due)
+    {
+        for (side_totals* side : {&granter_side, &holder_side}) {
+            for (const packet& it : due) {
+                ++side->messages;
+                side->bytes += static_cast<double>(it.frame.size());
+            }
+        }
+    }
+
+    void start_requests()
+    {
+        owed_ += rate_ * std::chrono::duration<double>{tick}.count();
+        for (; owed_ >= 1; owed_ -= 1) {
+            const int number = started_++;
+            ++requests;
+            granting::asker& own = *askers_[static_cast<std::size_t>(number % holders)];
+            scheduling::ask what = make_ask(number, clock_.now());
+            const std::string id = what.request_id;
+            own.request_credit(pool, std::move(what),
+                               [this, id, &own](const granting::credit_result& result) {
+                                   if (result.granted && own.confirm(id)) {
+                                       running_.push({clock_.now() + service, {id, &own}});
+                                   }
+                               });
+        }
+    }
+
+    void release_finished()
+    {
+        const granting::release_report report{.actual_cost = 2500,
+                                              .first_token = milliseconds{400},
+                                              .duration = service,
+                                              .prompt_tokens = prompt_tokens,
+                                              .output_tokens = 314};
+        while (!running_.empty() && running_.front().first <= clock_.now()) {
+            const auto [id, own] = running_.front().second;
+            running_.pop();
+            own->release(id, report);
+        }
+    }
+
+    double rate_;
+    double owed_ = 0;
+    int started_ = 0;
+    manual_clock clock_;
+    std::vector<packet> in_flight_;
+    wire_sender granter_sender_;
+    granting::decision_log decisions_;
+    granting::granter granter_;
+    std::vector<std::unique_ptr<wire_sender>> senders_;
+    std::vector<std::unique_ptr<granting::asker>> askers_;
+    std::map<std::string, std::size_t> index_;
+    std::queue<std::pair<steady_time, std::pair<std::string, granting::asker*>>> running_;
+};
+
+void add_run(control_role& role, const std::string& load, double rate, double use)
+{
+    const auto run = std::make_unique<granting_run>(rate, use);
+    run->run();
+    const double count = run->requests;
+    const std::string variable = "requests/s";
+    role.add(load + " messages", "per request", variable, rate, run->granter_side.messages / count);
+    role.add(load + " bytes", "B per request", variable, rate, run->granter_side.bytes / count);
+    role.add(load + " granter time", "ns per request", variable, rate,
+             run->granter_side.processor_ns / count);
+    role.add(load + " holder time", "ns per request", variable, rate,
+             run->holder_side.processor_ns / count);
+}
+
+/// Heap of a granter with replicas and waiting asks.
+double granter_memory(int replica_count, int waiting)
+{
+    manual_clock clock;
+    std::vector<packet> sent;
+    wire_sender sender{granter_id, sent};
+    granting::decision_log decisions{clock, 1};
+    scheduling::queue_config rules = make_rules();
+    rules.max_waiting = static_cast<std::size_t>(waiting) + 1;
+    const double before = heap_bytes();
+    granting::granter made{
+        {.instance_id = granter_id, .pool = pool}, rules, clock, sender, decisions};
+    add_replicas(made, replica_count, replica_count, clock.now());
+    for (int i = 0; i < waiting; ++i) {
+        // Within the takeover delay, so that nothing is granted.
+        made.handle("entry-" + std::to_string(1000 + i % holders),
+                    granting::make_ask_message(pool, make_ask(i, clock.now()), false, clock.now()));
+    }
+    return heap_bytes() - before;
+}
+
+} // namespace
+
+control_role measure_granting()
+{
+    control_role role{"granting", {}};
+    for (const double rate : {10.0, 20.0, 40.0, 80.0, 200.0}) {
+        add_run(role, "steady", rate, steady_use);
+        add_run(role, "overload", rate, overload_use);
+    }
+    for (const int waiting : {250, 500, 1000, 2000, 4000}) {
+        role.add("memory of asks", "B", "waiting asks", waiting, granter_memory(replicas, waiting));
+    }
+    for (const int count : {2, 16, 64, 256}) {
+        role.add("memory of replicas", "B", "replicas", count, granter_memory(count, 0));
+    }
+    return role;
+}
+
+} // namespace almondline::bench
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "bench/internal/control_scale.h"
 #include "bench/internal/overhead.h"
 #include "bench/internal/report.h"
 #include "bench/internal/slopes.h"
@@ -81,6 +82,19 @@
     return run_overhead(arguments.options) ? 0 : 1;
 }
 
+int run_control(const std::filesystem::path& out)
+{
+    const auto roles = measure_control_roles();
+    std::fputs(format_control(roles).c_str(), stdout);
+    std::filesystem::create_directories(out);
+    if (!write_file(out / "control.tsv", format_control_tsv(roles)) ||
+        !write_file(out / "control.svg", control_svg(roles))) {
+        std::fprintf(stderr, "cannot write the results to %s\n", out.string().c_str());
+        return 1;
+    }
+    return 0;
+}
+
 int run(int argc, char** argv)
 {
     CLI::App app{"Measurements of almondline"};
@@ -97,10 +111,16 @@
         app.add_subcommand("overhead", "compare calls through entry instances with direct calls");
     overhead_arguments through;
     add_overhead_options(*overhead, through);
+    CLI::App* control = app.add_subcommand("control", "control cost of an instance by fleet size");
+    std::string control_out = "out";
+    control->add_option("--out", control_out, "directory for the TSV and the plot");
     CLI11_PARSE(app, argc, argv);
     if (overhead->parsed()) {
         return run_overhead_command(through);
     }
+    if (control->parsed()) {
+        return run_control(control_out);
+    }
     if (policy->parsed()) {
         return run_policy(options);
     }
