Show log fits and the store calls of single instances

Cause: membership traffic levels off with size, which a straight line hides, and a reader sizes one instance, not only the fleet.

Ruled out: replacing the straight line in the extrapolation; it overestimates this traffic and so stays on the safe side. The 2.95 writes of a publication came from counting before the history was full.

--- a/src/bench/internal/control_distribution.cpp
+++ b/src/bench/internal/control_distribution.cpp
@@ -188,6 +188,25 @@
     role.add("time by " + variable, "ns per change", variable, size, time / count);
 }
 
+/// Calls of one watcher and of one other instance, divided by a time or a number of changes.
+void add_single_calls(control_role& role, const distribution_run& run, const std::string& when,
+                      const std::string& unit, double domains, double divisor)
+{
+    store_call_counts watcher;
+    store_call_counts other;
+    double watchers = 0;
+    for (std::size_t i = 0; i < run.stores.size(); ++i) {
+        watchers += run.is_watcher(i) ? 1 : 0;
+        (run.is_watcher(i) ? watcher : other) = run.stores[i]->counts;
+    }
+    const std::string variable = "domains";
+    role.add("watchers " + when, "instances", variable, domains, watchers);
+    role.add("watcher watches " + when, unit, variable, domains, watcher.watches / divisor);
+    role.add("watcher gets " + when, unit, variable, domains, watcher.gets / divisor);
+    role.add("non-watcher calls " + when, unit, variable, domains,
+             (other.gets + other.watches + other.writes + other.lease_calls) / divisor);
+}
+
 void add_calls(control_role& role, std::size_t domains)
 {
     constexpr std::size_t members_per_domain = 4;
@@ -198,21 +217,12 @@
     const double seconds = std::chrono::duration<double>{rest_time}.count();
     const auto size = static_cast<double>(domains);
     const store_call_counts rest = sum(run.stores);
-    double watchers = 0;
-    double one_watcher = 0;
-    double one_other = 0;
-    for (std::size_t i = 0; i < run.stores.size(); ++i) {
-        const store_call_counts& own = run.stores[i]->counts;
-        watchers += run.is_watcher(i) ? 1 : 0;
-        (run.is_watcher(i) ? one_watcher : one_other) = own.gets + own.watches + own.writes;
-    }
-    role.add("watchers", "instances", "domains", size, watchers);
+    add_single_calls(role, run, "at rest", "per s", size, seconds);
     role.add("fleet watches at rest", "per s", "domains", size, rest.watches / seconds);
     role.add("fleet gets at rest", "per s", "domains", size, rest.gets / seconds);
-    role.add("watcher calls at rest", "per s", "domains", size, one_watcher / seconds);
-    role.add("non-watcher calls at rest", "per s", "domains", size, one_other / seconds);
     run.publish(make_manifest_text(6));
     run.run(settle);
+    add_single_calls(role, run, "for a change", "per change", size, 1);
     const store_call_counts change = sum(run.stores);
     role.add("fleet watches for a change", "per change", "domains", size, change.watches);
     role.add("fleet gets for a change", "per change", "domains", size, change.gets);
@@ -221,8 +231,8 @@
 /// Store calls of the operator's publications, through the instance that takes them.
 void add_publications(control_role& role, int accounts)
 {
-    constexpr int publications = 40;
-    constexpr int first_counted = 20; // by then the history is full
+    constexpr int publications = 60;
+    constexpr int first_counted = 40; // by then the history is full
     manual_clock clock;
     fake_key_value_store store{clock};
     counting_store counted{store};
--- a/src/bench/internal/control_report.cpp
+++ b/src/bench/internal/control_report.cpp
@@ -1,7 +1,9 @@
 #include "bench/internal/control_scale.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
+#include <iterator>
 
 namespace almondline::bench {
 
@@ -26,8 +28,16 @@
         text += print("  %.0f: %.4g", line.sizes[i], line.values[i]);
     }
     const line_fit fit = fit_line(line.sizes, line.values);
-    return text +
-           print("\n  %.5g + %.5g * n, residual %.3g\n", fit.intercept, fit.slope, fit.residual);
+    text += print("\n  %.5g + %.5g * n, residual %.3g", fit.intercept, fit.slope, fit.residual);
+    if (line.sizes.front() > 0) {
+        std::vector<double> logs;
+        std::transform(line.sizes.begin(), line.sizes.end(), std::back_inserter(logs),
+                       [](double size) { return std::log2(size); });
+        const line_fit log_fit = fit_line(logs, line.values);
+        text += print(";  %.5g + %.5g * log2(n), residual %.3g", log_fit.intercept, log_fit.slope,
+                      log_fit.residual);
+    }
+    return text + "\n";
 }
 
 std::string format_costs(const std::vector<control_role>& roles, const fleet_scale& scale)
