Keep a look at a caller's socket from blocking a traffic thread

Cause: wait_closed peeks at the socket after a wait for reading. With several traffic threads that wait can end on a stale event, after another thread has read the data; the socket was blocking, so that the peek held the thread and the connection's strand until the caller gave up. The granted credit was confirmed and never used.

--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -103,8 +103,8 @@
         return false;
     }
     return std::all_of(table.replicas.begin(), table.replicas.end(), [&](const auto& it) {
-        return !it.is_present || it.is_leaving || it.spec.is_leaving ||
-               routing::is_draining(it) || !routing::has_model(it, what.model) ||
+        return !it.is_present || it.is_leaving || it.spec.is_leaving || routing::is_draining(it) ||
+               !routing::has_model(it, what.model) ||
                std::find(what.excluded.begin(), what.excluded.end(), it.spec.id) !=
                    what.excluded.end();
     });
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -290,6 +290,9 @@
 {
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay{true}, ec);
+    // With several threads a wait for reading can end on a stale event, after another thread has
+    // read the data. The look at the socket that follows must then not block its thread.
+    socket.non_blocking(true, ec);
     beast::tcp_stream stream{std::move(socket)};
     beast::flat_buffer buf;
     bool can_continue = true;
