Add TLS for callers, operators and peers

Cause: all connections were plain text, so that anyone on the network could read bearer keys and pose as an entry instance.

The module tls holds certificates that are read again when their files change, and a stream that may carry TLS; OpenSSL and Beast stay out of the public headers. [tls] encrypts the caller and operator port, almondctl --ca calls it, [peer_tls] makes connections between entry instances mutual. The certificate of a peer must have the instance id of its greeting among its DNS names, exactly: X509_check_host would ignore case and accept wildcards. Sessions are not resumed where the other side's certificate is required, because that would skip its check.

Below TLS the end of a connection looks like data, so that wait_closed reads ahead there and keeps a request that follows.

Ruled out: http_client_tls as a default argument and the greeting as a parameter of the coroutine run_accepted. GCC 12 destroyed the first twice (free of an invalid pointer) and garbled the second (pointer 0x10 at the first statement of the coroutine, while the caller passed a sound value).

Not measured: cost of the handshake and of encryption.

--- a/src/ctl/internal/operator_commands.cpp
+++ b/src/ctl/internal/operator_commands.cpp
@@ -17,13 +17,25 @@
 
 namespace {
 
-http_result call_entry(const endpoint_text& address, const http_request& request)
+constexpr std::size_t max_answer = 16 * 1024 * 1024;
+
+http_result call_entry(const ctl_context& context, const http_request& request)
 {
     boost::asio::io_context io;
     http_result result;
+    http_client_tls tls;
+    tls.server_name = context.options.server_name;
+    if (!context.options.ca_file.empty()) {
+        tls.credentials =
+            load_tls_client({{}, {}, context.options.ca_file}, context.clock, result.message);
+        if (!tls.credentials) {
+            return result;
+        }
+    }
+    const auto address = context.options.entry_address;
     const auto run = [&]() -> boost::asio::awaitable<void> {
         const http_timeouts timeouts;
-        result = co_await call_http(address, request, timeouts);
+        result = co_await call_http(address, request, timeouts, max_answer, tls);
     };
     boost::asio::co_spawn(io, run(), boost::asio::detached);
     io.run();
@@ -91,7 +103,7 @@
         return exit_code::invalid;
     }
     request.headers.push_back({"Authorization", "Bearer " + key});
-    const auto result = call_entry(context.options.entry_address, request);
+    const auto result = call_entry(context, request);
     if (result.progress == http_progress::complete) {
         return report_answer(context, result);
     }
--- a/src/ctl/internal/options.cpp
+++ b/src/ctl/internal/options.cpp
@@ -12,6 +12,8 @@
     static const std::vector<setting_spec> spec{
         {"store", "addresses", setting_type::addresses, false, "", "key-value service"},
         {"entry", "address", setting_type::address, false, "", "entry instance for operators"},
+        {"entry", "ca_file", setting_type::text, false, "", "CA of the entry's certificate"},
+        {"entry", "server_name", setting_type::text, false, "", "DNS name in its certificate"},
         {"operator", "key_file", setting_type::text, false, "", "file that holds the key"},
         {"operator", "name", setting_type::text, false, "", "name in the manifest history"},
     };
@@ -25,6 +27,8 @@
             BOOST_LEAF_AUTO(file, load_settings(path, known_settings()));
             values.store_addresses = file.text("store.addresses");
             values.entry_address = file.text("entry.address");
+            values.ca_file = file.text("entry.ca_file");
+            values.server_name = file.text("entry.server_name");
             values.key_file = file.text("operator.key_file");
             values.operator_name = file.text("operator.name");
             return std::string{};
@@ -76,8 +80,12 @@
     }
     override_with(values.store_addresses, flags.store_addresses);
     override_with(values.entry_address, flags.entry_address);
+    override_with(values.ca_file, flags.ca_file);
+    override_with(values.server_name, flags.server_name);
     override_with(values.key_file, flags.key_file);
     override_with(values.operator_name, flags.operator_name);
+    options.ca_file = values.ca_file;
+    options.server_name = values.server_name;
     options.key_file = values.key_file;
     options.operator_name =
         values.operator_name.empty() ? environment("USER") : values.operator_name;
--- a/src/ctl/internal/options.h
+++ b/src/ctl/internal/options.h
@@ -11,6 +11,8 @@
     std::string config_path;
     std::string store_addresses;
     std::string entry_address;
+    std::string ca_file;
+    std::string server_name;
     std::string key_file;
     std::string operator_name;
 };
--- a/src/ctl/run.cpp
+++ b/src/ctl/run.cpp
@@ -46,6 +46,10 @@
     app.add_option("--config", line.flags.config_path, "INI file with the settings");
     app.add_option("--store", line.flags.store_addresses, "IP:PORT of the store, commas between");
     app.add_option("--entry", line.flags.entry_address, "IP:PORT of an entry instance");
+    app.add_option("--ca", line.flags.ca_file,
+                   "PEM file with the CA of the entry instance; it is called over TLS then");
+    app.add_option("--server-name", line.flags.server_name,
+                   "DNS name in its certificate, its IP address if not given");
     app.add_option("--operator-key-file", line.flags.key_file, "file that holds the operator key");
     app.add_option("--operator-name", line.flags.operator_name, "name in the manifest history");
     app.add_flag("--json", context.options.is_json, "write JSON");
--- a/src/ctl/types/ctl_context.h
+++ b/src/ctl/types/ctl_context.h
@@ -23,6 +23,8 @@
     std::string config_path;
     std::vector<endpoint_text> store_addresses;
     endpoint_text entry_address;
+    std::string ca_file;       ///< CA of the entry instance, empty: plain HTTP
+    std::string server_name;   ///< DNS name in its certificate, empty: the IP address
     std::string key_file;      ///< holds the operator key
     std::string operator_name; ///< for the manifest history
     bool is_json = false;
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -50,6 +50,15 @@
         {"backend", "resume_window", t::duration, false, "10s",
          "Time in which resuming a stream is tried."},
         {"backend", "connect_timeout", t::duration, false, "1s", "Limit of one connect."},
+        {"tls", "certificate", t::text, false, "",
+         "PEM file with the certificate for callers and operators. Empty: plain HTTP."},
+        {"tls", "key", t::text, false, "", "PEM file with the key of the certificate."},
+        {"peer_tls", "certificate", t::text, false, "",
+         "PEM file with the certificate for other entry instances. Its DNS names must contain the "
+         "instance_id. Empty: plain TCP."},
+        {"peer_tls", "key", t::text, false, "", "PEM file with the key of the certificate."},
+        {"peer_tls", "ca", t::text, false, "",
+         "PEM file with the CA that issues the certificates of entry instances."},
         {"log", "level", t::text, false, "info", "Lowest level: debug, info, warning or error."},
     };
     return specs;
@@ -83,6 +92,9 @@
     out.resume_window = values.duration("backend.resume_window");
     out.connect_timeout = values.duration("backend.connect_timeout");
     out.log_level = values.text("log.level");
+    out.tls = {values.text("tls.certificate"), values.text("tls.key"), {}};
+    out.peer_tls = {values.text("peer_tls.certificate"), values.text("peer_tls.key"),
+                    values.text("peer_tls.ca")};
     if (out.traffic_threads < 1 || out.traffic_threads > 64) {
         return boost::leaf::new_error(
             parse_error{path, 0, "entry.traffic_threads", "must be from 1 to 64"});
@@ -95,4 +107,25 @@
     return out;
 }
 
+std::string load_credentials(entry_settings& settings, const clock_source& clock)
+{
+    const auto is_given = [](const tls_files& files) {
+        return !(files.certificate + files.key + files.ca).empty();
+    };
+    std::string error;
+    if (is_given(settings.tls)) {
+        settings.credentials = load_tls_server(settings.tls, clock, error);
+        if (!settings.credentials) {
+            return "tls: " + error;
+        }
+    }
+    if (is_given(settings.peer_tls)) {
+        settings.peer_credentials = load_tls_peer(settings.peer_tls, clock, error);
+        if (!settings.peer_credentials) {
+            return "peer_tls: " + error;
+        }
+    }
+    return {};
+}
+
 } // namespace almondline::entry
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/settings.h"
+#include "tls/credentials.h"
 
 #include <chrono>
 #include <string>
@@ -31,6 +32,10 @@
     std::chrono::milliseconds resume_window{0};
     std::chrono::milliseconds connect_timeout{0};
     std::string log_level;
+    tls_files tls;                                ///< for callers and operators, empty: plain HTTP
+    tls_files peer_tls;                           ///< between entry instances, empty: plain
+    std::shared_ptr<tls_credentials> credentials; ///< null: plain HTTP
+    std::shared_ptr<tls_credentials> peer_credentials; ///< null: plain
 };
 
 const std::vector<setting_spec>& entry_setting_specs();
@@ -38,4 +43,8 @@
 /// Errors carry a parse_error.
 boost::leaf::result<entry_settings> load_entry_settings(const std::string& path);
 
+/// Reads the files of both kinds of TLS, where they are given. Returns an empty text or the fault.
+/// The clock must outlive the credentials.
+std::string load_credentials(entry_settings& settings, const clock_source& clock);
+
 } // namespace almondline::entry
--- a/src/entry/internal/control_state.cpp
+++ b/src/entry/internal/control_state.cpp
@@ -49,6 +49,7 @@
     out.incarnation = self.incarnation;
     out.failure_domain = self.failure_domain;
     parse_endpoint(settings.peer_address, out.listen);
+    out.credentials = settings.peer_credentials;
     return out;
 }
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -62,7 +62,8 @@
                    settings.address_lifetime},
           operators_{settings.operator_key_hash, functions()},
           server_{traffic_io_, settings.listen, server_limits(),
-                  [this](http_exchange& exchange) { return handle(exchange); }},
+                  [this](http_exchange& exchange) { return handle(exchange); },
+                  settings.credentials},
           signals_{control_io_, SIGTERM, SIGINT}, drain_timer_{control_io_}
     {
     }
@@ -184,6 +185,10 @@
             begin_drain();
         }
     });
+    if (!settings_.peer_credentials) {
+        log_event("entry", log_level::warning, "peers-unencrypted",
+                  {{"reason", "no certificate in the section peer_tls"}});
+    }
     control_.start();
     const auto work = asio::make_work_guard(traffic_io_);
     std::vector<std::jthread> threads;
@@ -217,10 +222,16 @@
         std::cerr << "--config is required\n";
         return exit_settings;
     }
-    const auto settings = read_settings(path);
+    auto settings = read_settings(path);
     if (!settings) {
         return exit_settings;
     }
+    const system_clock_source clock;
+    const auto fault = load_credentials(*settings, clock);
+    if (!fault.empty()) {
+        std::cerr << path << ": " << fault << '\n';
+        return exit_settings;
+    }
     if (is_check) {
         std::cout << path << ": ok\n";
         return 0;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "tls/internal/optional_tls_stream.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -45,15 +47,24 @@
 } // namespace
 
 struct http_connection::state {
-    explicit state(asio::any_io_executor executor) : stream{std::move(executor)} {}
+    state(asio::any_io_executor executor, http_client_tls client_tls)
+        : stream{beast::tcp_stream{std::move(executor)}}, tls{std::move(client_tls)}
+    {
+    }
 
-    beast::tcp_stream stream;
+    tls_internal::optional_tls_stream<beast::tcp_stream> stream;
+    http_client_tls tls;
     beast::flat_buffer buf;
     std::optional<http::response_parser<http::buffer_body>> parser;
 };
 
 http_connection::http_connection(asio::any_io_executor executor)
-    : state_{std::make_unique<state>(std::move(executor))}
+    : http_connection{std::move(executor), http_client_tls{}}
+{
+}
+
+http_connection::http_connection(asio::any_io_executor executor, http_client_tls tls)
+    : state_{std::make_unique<state>(std::move(executor), std::move(tls))}
 {
 }
 
@@ -69,21 +80,26 @@
     if (ec) {
         co_return "\"" + address.host + "\" is not an IP address";
     }
-    state_->stream.expires_after(timeout);
+    state_->stream.lower().expires_after(timeout);
     const asio::ip::tcp::endpoint endpoint{ip, address.port};
-    std::tie(ec) = co_await state_->stream.async_connect(endpoint, use_tuple);
+    std::tie(ec) = co_await state_->stream.lower().async_connect(endpoint, use_tuple);
     if (ec) {
         co_return "connect: " + ec.message();
     }
-    state_->stream.socket().set_option(asio::ip::tcp::no_delay{true}, ec);
-    co_return std::string{};
+    state_->stream.lower().socket().set_option(asio::ip::tcp::no_delay{true}, ec);
+    if (!state_->tls.credentials) {
+        co_return std::string{};
+    }
+    const tls_internal::server_identity identity{address.host, state_->tls.server_name};
+    co_return co_await state_->stream.handshake(asio::ssl::stream_base::client,
+                                                state_->tls.credentials, identity);
 }
 
 asio::awaitable<std::string> http_connection::write_request(const http_request& request,
                                                             std::chrono::milliseconds timeout)
 {
     const auto message = to_beast(request);
-    state_->stream.expires_after(timeout);
+    state_->stream.lower().expires_after(timeout);
     const auto [ec, n] = co_await http::async_write(state_->stream, message, use_tuple);
     co_return ec ? "write: " + ec.message() : std::string{};
 }
@@ -94,7 +110,7 @@
     auto& parser = state_->parser.emplace();
     parser.header_limit(max_header_size);
     parser.body_limit(boost::none);
-    state_->stream.expires_after(timeout);
+    state_->stream.lower().expires_after(timeout);
     const auto [ec, n] =
         co_await http::async_read_header(state_->stream, state_->buf, parser, use_tuple);
     if (ec) {
@@ -118,7 +134,7 @@
     char buf[read_buffer_size];
     parser.get().body().data = buf;
     parser.get().body().size = sizeof buf;
-    state_->stream.expires_after(timeout);
+    state_->stream.lower().expires_after(timeout);
     // async_read_some returns after one read; async_read would wait until the buffer is full.
     const auto [ec, n] =
         co_await http::async_read_some(state_->stream, state_->buf, parser, use_tuple);
@@ -133,15 +149,24 @@
 void http_connection::close()
 {
     boost::system::error_code ec;
-    state_->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
-    state_->stream.close();
+    state_->stream.lower().socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+    state_->stream.lower().close();
 }
 
 asio::awaitable<http_result> call_http(endpoint_text address, http_request request,
                                        http_timeouts timeouts, std::size_t max_body)
+{
+    http_client_tls plain;
+    co_return co_await call_http(std::move(address), std::move(request), timeouts, max_body,
+                                 std::move(plain));
+}
+
+asio::awaitable<http_result> call_http(endpoint_text address, http_request request,
+                                       http_timeouts timeouts, std::size_t max_body,
+                                       http_client_tls tls)
 {
     http_result result;
-    http_connection connection{co_await asio::this_coro::executor};
+    http_connection connection{co_await asio::this_coro::executor, std::move(tls)};
     result.message = co_await connection.connect(address, timeouts.connect);
     if (!result.message.empty()) {
         co_return result;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -2,6 +2,7 @@
 
 #include "common/settings.h"
 #include "http/types/message.h"
+#include "tls/credentials.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -25,15 +26,26 @@
     std::chrono::milliseconds read{5'000}; ///< for the header, and for each part of the body
 };
 
+/// How a client checks a server over TLS. Without credentials it speaks plain HTTP.
+struct http_client_tls {
+    std::shared_ptr<tls_credentials> credentials; ///< from load_tls_client
+    /// DNS name in the certificate of the server. Empty: it must name the IP address.
+    std::string server_name;
+};
+
 /// One client connection for one request. All calls belong on its executor.
 class http_connection {
 public:
     explicit http_connection(boost::asio::any_io_executor executor);
+    // Overloads instead of a default argument: GCC 12 would destroy it twice in a co_await
+    // expression.
+    http_connection(boost::asio::any_io_executor executor, http_client_tls tls);
     ~http_connection();
     http_connection(http_connection&&) noexcept;
     http_connection& operator=(http_connection&&) noexcept;
 
-    /// Each returns an empty text, or the cause of the failure.
+    /// Each returns an empty text, or the cause of the failure. The timeout of connect covers the
+    /// TLS handshake.
     boost::asio::awaitable<std::string> connect(endpoint_text address,
                                                 std::chrono::milliseconds timeout);
     boost::asio::awaitable<std::string> write_request(const http_request& request,
@@ -63,5 +75,8 @@
 boost::asio::awaitable<http_result> call_http(endpoint_text address, http_request request,
                                               http_timeouts timeouts,
                                               std::size_t max_body = 16 * 1024 * 1024);
+boost::asio::awaitable<http_result> call_http(endpoint_text address, http_request request,
+                                              http_timeouts timeouts, std::size_t max_body,
+                                              http_client_tls tls);
 
 } // namespace almondline
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,8 @@
 #include "http/server.h"
 
+#include "common/log.h"
+#include "tls/internal/optional_tls_stream.h"
+
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -29,6 +32,8 @@
 
 namespace {
 
+using http_stream = tls_internal::optional_tls_stream<beast::tcp_stream>;
+
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
@@ -69,14 +74,16 @@
 bool is_connection_end(const boost::system::error_code& ec)
 {
     return ec == http::error::end_of_stream || ec == asio::error::connection_reset ||
-           ec == asio::error::operation_aborted || ec == asio::error::eof;
+           ec == asio::error::operation_aborted || ec == asio::error::eof ||
+           ec == asio::ssl::error::stream_truncated;
 }
 
 class exchange final : public http_exchange {
 public:
-    exchange(beast::tcp_stream& stream, http_request request, bool keep_alive,
+    exchange(http_stream& stream, beast::flat_buffer& buf, http_request request, bool keep_alive,
              const http_server_limits& limits)
-        : stream_{stream}, request_{std::move(request)}, keep_alive_{keep_alive}, limits_{limits}
+        : stream_{stream}, buf_{buf}, request_{std::move(request)},
+          keep_alive_{keep_alive}, limits_{limits}
     {
     }
 
@@ -92,7 +99,7 @@
         message.keep_alive(keep_alive_);
         message.body() = std::move(response.body);
         message.prepare_payload();
-        stream_.expires_after(limits_.write_timeout);
+        stream_.lower().expires_after(limits_.write_timeout);
         const auto [ec, n] = co_await http::async_write(stream_, message, use_tuple);
         co_return note(ec);
     }
@@ -108,7 +115,7 @@
         message.keep_alive(keep_alive_);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer{message};
-        stream_.expires_after(limits_.write_timeout);
+        stream_.lower().expires_after(limits_.write_timeout);
         const auto [ec, n] = co_await http::async_write_header(stream_, serializer, use_tuple);
         co_return note(ec);
     }
@@ -118,7 +125,7 @@
         if (data.empty()) {
             co_return is_open_;
         }
-        stream_.expires_after(limits_.write_timeout);
+        stream_.lower().expires_after(limits_.write_timeout);
         const auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
         const auto [ec, n] = co_await asio::async_write(stream_, chunk, use_tuple);
         co_return note(ec);
@@ -127,7 +134,7 @@
     asio::awaitable<bool> end_stream() override
     {
         is_streaming_ = false;
-        stream_.expires_after(limits_.write_timeout);
+        stream_.lower().expires_after(limits_.write_timeout);
         const auto [ec, n] =
             co_await asio::async_write(stream_, http::make_chunk_last(), use_tuple);
         co_return note(ec);
@@ -138,14 +145,17 @@
         // A caller that pipelines its next request is not closed, so only an end of file counts.
         while (is_open_) {
             const auto [ec] =
-                co_await stream_.socket().async_wait(tcp::socket::wait_read, use_tuple);
-            if (ec) {
+                co_await stream_.lower().socket().async_wait(tcp::socket::wait_read, use_tuple);
+            if (ec || (stream_.is_tls() && !co_await read_ahead())) {
                 co_return;
             }
+            if (stream_.is_tls()) {
+                co_await wait_forever();
+            }
             char byte = 0;
             boost::system::error_code peek_ec;
-            const auto n = stream_.socket().receive(asio::buffer(&byte, 1),
-                                                    tcp::socket::message_peek, peek_ec);
+            const auto n = stream_.lower().socket().receive(asio::buffer(&byte, 1),
+                                                            tcp::socket::message_peek, peek_ec);
             if (peek_ec && peek_ec != asio::error::would_block) {
                 co_return;
             }
@@ -158,13 +168,13 @@
     void abort() override
     {
         is_open_ = false;
-        stream_.close();
+        stream_.lower().close();
     }
 
     std::string remote_address() const override
     {
         boost::system::error_code ec;
-        const auto remote = stream_.socket().remote_endpoint(ec);
+        const auto remote = stream_.lower().socket().remote_endpoint(ec);
         return ec ? std::string{} : remote.address().to_string();
     }
 
@@ -179,13 +189,24 @@
         return is_open_;
     }
 
+    /// Below TLS an end looks like data. Keeps a request that follows; returns false at the end.
+    asio::awaitable<bool> read_ahead()
+    {
+        constexpr std::size_t read_size = 1024;
+        const auto space = buf_.prepare(read_size);
+        const auto [ec, n] = co_await stream_.async_read_some(space, use_tuple);
+        buf_.commit(n);
+        co_return !ec;
+    }
+
     asio::awaitable<void> wait_forever()
     {
         asio::steady_timer timer{stream_.get_executor(), asio::steady_timer::time_point::max()};
         co_await timer.async_wait(use_tuple);
     }
 
-    beast::tcp_stream& stream_;
+    http_stream& stream_;
+    beast::flat_buffer& buf_; ///< bytes after the request
     http_request request_;
     bool keep_alive_;
     const http_server_limits& limits_;
@@ -197,9 +218,10 @@
 } // namespace
 
 struct http_server::state {
-    state(asio::io_context& context, http_server_limits server_limits, http_handler request_handler)
+    state(asio::io_context& context, http_server_limits server_limits, http_handler request_handler,
+          std::shared_ptr<tls_credentials> credentials)
         : io{context}, acceptor{asio::make_strand(context)}, limits{server_limits},
-          handler{std::move(request_handler)}
+          handler{std::move(request_handler)}, tls{std::move(credentials)}
     {
     }
 
@@ -207,12 +229,14 @@
     // `this`, and a spawned coroutine starts after the server may have been destroyed.
     asio::awaitable<void> accept_loop(std::shared_ptr<state> self);
     asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket socket);
-    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buf);
+    asio::awaitable<bool> secure(http_stream& stream);
+    asio::awaitable<bool> serve_one(http_stream& stream, beast::flat_buffer& buf);
 
     asio::io_context& io;
     tcp::acceptor acceptor;
     http_server_limits limits;
     http_handler handler;
+    std::shared_ptr<tls_credentials> tls; ///< null: plain HTTP
     std::atomic<bool> is_stopping{false};
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> requests{0};
@@ -241,26 +265,40 @@
     }
 }
 
-asio::awaitable<bool> http_server::state::serve_one(beast::tcp_stream& stream,
-                                                    beast::flat_buffer& buf)
+asio::awaitable<bool> http_server::state::secure(http_stream& stream)
+{
+    if (!tls) {
+        co_return true;
+    }
+    stream.lower().expires_after(limits.handshake_timeout);
+    const tls_internal::server_identity none;
+    const auto error = co_await stream.handshake(asio::ssl::stream_base::server, tls, none);
+    if (!error.empty()) {
+        log_event("http", log_level::debug, "handshake-failed", {{"reason", error}});
+        stream.lower().close();
+    }
+    co_return error.empty();
+}
+
+asio::awaitable<bool> http_server::state::serve_one(http_stream& stream, beast::flat_buffer& buf)
 {
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.max_header_bytes);
     parser.body_limit(limits.max_body_bytes);
-    stream.expires_after(limits.idle_timeout);
+    stream.lower().expires_after(limits.idle_timeout);
     auto [ec, n] = co_await http::async_read_header(stream, buf, parser, use_tuple);
     if (ec == beast::error::timeout && buf.size() == 0) {
         co_return false;
     }
     if (!ec) {
-        stream.expires_after(limits.read_timeout);
+        stream.lower().expires_after(limits.read_timeout);
         std::tie(ec, n) = co_await http::async_read(stream, buf, parser, use_tuple);
     }
     if (ec && is_connection_end(ec)) {
         co_return false;
     }
     if (ec) {
-        exchange broken{stream, {}, false, limits};
+        exchange broken{stream, buf, {}, false, limits};
         const std::string body = R"({"error":{"code":"bad-request","message":")" + ec.message() +
                                  R"(","verdict":"not-run"}})";
         auto response = json_response(status_of_read_error(ec), body);
@@ -269,11 +307,11 @@
         co_return false;
     }
     const bool keep_alive = parser.get().keep_alive() && !is_stopping;
-    exchange current{stream, from_beast(parser.release()), keep_alive, limits};
+    exchange current{stream, buf, from_beast(parser.release()), keep_alive, limits};
     ++requests;
     try {
         // The handler may take long; only its writes are timed.
-        stream.expires_never();
+        stream.lower().expires_never();
         co_await handler(current);
     }
     catch (const std::exception&) {
@@ -290,19 +328,24 @@
 {
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay{true}, ec);
-    beast::tcp_stream stream{std::move(socket)};
+    http_stream stream{beast::tcp_stream{std::move(socket)}};
     beast::flat_buffer buf;
-    bool can_continue = true;
+    bool can_continue = co_await secure(stream);
     while (can_continue) {
         can_continue = co_await serve_one(stream, buf);
     }
-    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    if (stream.lower().socket().is_open()) {
+        stream.lower().expires_after(limits.write_timeout);
+        co_await stream.shutdown_tls();
+    }
+    stream.lower().socket().shutdown(tcp::socket::shutdown_send, ec);
     --connections;
 }
 
 http_server::http_server(asio::io_context& io, const endpoint_text& address,
-                         http_server_limits limits, http_handler handler)
-    : state_{std::make_shared<state>(io, limits, std::move(handler))}
+                         http_server_limits limits, http_handler handler,
+                         std::shared_ptr<tls_credentials> tls)
+    : state_{std::make_shared<state>(io, limits, std::move(handler), std::move(tls))}
 {
     const tcp::endpoint endpoint{asio::ip::make_address(address.host), address.port};
     state_->acceptor.open(endpoint.protocol());
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -2,6 +2,7 @@
 
 #include "common/settings.h"
 #include "http/types/message.h"
+#include "tls/credentials.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -17,9 +18,10 @@
     std::size_t max_connections = 10'000;
     std::uint32_t max_header_bytes = 16 * 1024;
     std::uint64_t max_body_bytes = 8 * 1024 * 1024;
-    std::chrono::milliseconds read_timeout{30'000};  ///< for the body of one request
-    std::chrono::milliseconds idle_timeout{60'000};  ///< for the header, and between requests
-    std::chrono::milliseconds write_timeout{10'000}; ///< for one write; ends slow readers
+    std::chrono::milliseconds read_timeout{30'000};     ///< for the body of one request
+    std::chrono::milliseconds idle_timeout{60'000};     ///< for the header, and between requests
+    std::chrono::milliseconds write_timeout{10'000};    ///< for one write; ends slow readers
+    std::chrono::milliseconds handshake_timeout{5'000}; ///< for the whole TLS handshake
 };
 
 /// One request and its response. Each write returns false if the connection is gone.
@@ -48,13 +50,14 @@
 
 using http_handler = std::function<boost::asio::awaitable<void>(http_exchange&)>;
 
-/// HTTP/1.1 server. Each connection runs on a strand of the io_context, which may have many
-/// threads.
+/// HTTP/1.1 server, over TLS if it has credentials. Each connection runs on a strand of the
+/// io_context, which may have many threads.
 class http_server {
 public:
     /// Listens at once. Throws boost::system::system_error if the address can't be bound.
     http_server(boost::asio::io_context& io, const endpoint_text& address,
-                http_server_limits limits, http_handler handler);
+                http_server_limits limits, http_handler handler,
+                std::shared_ptr<tls_credentials> tls = nullptr);
     ~http_server();
 
     /// Port that is bound, for an address with port 0.
--- a/src/peer/internal/connection.cpp
+++ b/src/peer/internal/connection.cpp
@@ -27,36 +27,43 @@
 
 connection::connection(tcp::socket socket, const clock_source& clock, const peer_settings& settings,
                        connection_owner& owner)
-    : socket_{std::move(socket)}, writer_wakeup_{socket_.get_executor()}, clock_{clock},
+    : stream_{std::move(socket)}, writer_wakeup_{stream_.get_executor()}, clock_{clock},
       settings_{settings}, owner_{&owner}, opened_{clock.now()}, last_activity_{opened_}
 {
     boost::system::error_code ec;
-    const auto remote = socket_.remote_endpoint(ec);
+    const auto remote = stream_.lower().remote_endpoint(ec);
     if (!ec) {
         remote_address_ = remote.address().to_string() + ":" + std::to_string(remote.port());
     }
 }
 
-void connection::start(queued_frame greeting)
+void connection::start()
 {
     boost::system::error_code ec;
-    socket_.set_option(tcp::no_delay{true}, ec);
-    const auto executor = socket_.get_executor();
+    stream_.lower().set_option(tcp::no_delay{true}, ec);
+    const auto executor = stream_.get_executor();
     asio::co_spawn(executor, read_loop(shared_from_this()), asio::detached);
-    asio::co_spawn(executor, write_loop(shared_from_this(), std::move(greeting)), asio::detached);
+    asio::co_spawn(executor, write_loop(shared_from_this()), asio::detached);
+}
+
+void connection::accept(queued_frame greeting)
+{
+    greeting_ = std::move(greeting);
+    asio::co_spawn(stream_.get_executor(), run_accepted(shared_from_this()), asio::detached);
 }
 
 void connection::connect(const tcp::endpoint& address, queued_frame greeting)
 {
     remote_address_ = address.address().to_string() + ":" + std::to_string(address.port());
-    asio::co_spawn(socket_.get_executor(),
-                   run_outgoing(shared_from_this(), address, std::move(greeting)), asio::detached);
+    greeting_ = std::move(greeting);
+    asio::co_spawn(stream_.get_executor(), run_outgoing(shared_from_this(), address),
+                   asio::detached);
 }
 
 asio::awaitable<void> connection::run_outgoing(std::shared_ptr<connection> /*self*/,
-                                               tcp::endpoint address, queued_frame greeting)
+                                               tcp::endpoint address)
 {
-    const auto [ec] = co_await socket_.async_connect(address, use_tuple);
+    const auto [ec] = co_await stream_.lower().async_connect(address, use_tuple);
     if (!is_open_) {
         co_return;
     }
@@ -64,7 +71,37 @@
         close("connect: " + ec.message());
         co_return;
     }
-    start(std::move(greeting));
+    const bool is_ready = co_await handshake(asio::ssl::stream_base::client);
+    if (is_ready) {
+        start();
+    }
+}
+
+asio::awaitable<void> connection::run_accepted(std::shared_ptr<connection> /*self*/)
+{
+    const bool is_ready = co_await handshake(asio::ssl::stream_base::server);
+    if (is_ready) {
+        start();
+    }
+}
+
+asio::awaitable<bool> connection::handshake(asio::ssl::stream_base::handshake_type side)
+{
+    if (!settings_.credentials) {
+        co_return true;
+    }
+    // The name is checked with the greeting, which says whom the peer claims to be.
+    const tls_internal::server_identity none;
+    const auto error = co_await stream_.handshake(side, settings_.credentials, none);
+    if (is_open_ && !error.empty()) {
+        close(error);
+    }
+    co_return is_open_;
+}
+
+bool connection::may_be(const std::string& instance_id) const
+{
+    return !settings_.credentials || stream_.is_named(instance_id);
 }
 
 asio::awaitable<void> connection::read_loop(std::shared_ptr<connection> /*self*/)
@@ -72,7 +109,7 @@
     std::string body;
     while (is_open_) {
         std::array<char, frame_header_bytes> header{};
-        const auto [ec, n] = co_await asio::async_read(socket_, asio::buffer(header), use_tuple);
+        const auto [ec, n] = co_await asio::async_read(stream_, asio::buffer(header), use_tuple);
         if (ec) {
             close(n == 0 ? "closed by peer" : "truncated frame");
             co_return;
@@ -113,7 +150,7 @@
         const auto start = body.size();
         body.resize(std::min(body_bytes, start + read_step_bytes));
         const auto buf = asio::buffer(body.data() + start, body.size() - start);
-        const auto [ec, n] = co_await asio::async_read(socket_, buf, use_tuple);
+        const auto [ec, n] = co_await asio::async_read(stream_, buf, use_tuple);
         if (ec) {
             co_return false;
         }
@@ -121,10 +158,9 @@
     co_return true;
 }
 
-asio::awaitable<void> connection::write_loop(std::shared_ptr<connection> /*self*/,
-                                             queued_frame greeting)
+asio::awaitable<void> connection::write_loop(std::shared_ptr<connection> /*self*/)
 {
-    bool is_written = co_await write_frame(std::move(greeting));
+    bool is_written = co_await write_frame(std::move(greeting_));
     while (is_written && is_open_) {
         if (!is_established_ || queue_.empty()) {
             writer_wakeup_.expires_at(asio::steady_timer::time_point::max());
@@ -150,7 +186,7 @@
         unanswered_since_ = now;
     }
     const auto buf = asio::buffer(frame.bytes);
-    const auto [ec, n] = co_await asio::async_write(socket_, buf, use_tuple);
+    const auto [ec, n] = co_await asio::async_write(stream_, buf, use_tuple);
     write_started_.reset();
     if (!is_open_) {
         co_return false;
@@ -206,7 +242,7 @@
     is_open_ = false;
     owner_ = nullptr;
     boost::system::error_code ec;
-    socket_.close(ec);
+    stream_.lower().close(ec);
     writer_wakeup_.cancel();
 }
 
--- a/src/peer/internal/connection.h
+++ b/src/peer/internal/connection.h
@@ -4,6 +4,7 @@
 #include "peer/envelope_kind.h"
 #include "peer/types/peer_counters.h"
 #include "peer/types/peer_settings.h"
+#include "tls/internal/optional_tls_stream.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -45,9 +46,9 @@
     connection(boost::asio::ip::tcp::socket socket, const clock_source& clock,
                const peer_settings& settings, connection_owner& owner);
 
-    /// Greets and reads on a socket that is connected.
-    void start(queued_frame greeting);
-    /// Connects, then starts.
+    /// Makes the TLS handshake, if there is one, then greets and reads on an accepted socket.
+    void accept(queued_frame greeting);
+    /// Connects, then does the same.
     void connect(const boost::asio::ip::tcp::endpoint& address, queued_frame greeting);
     /// Queues a frame. If the queue is full, its oldest frames are dropped and counted.
     void enqueue(queued_frame frame);
@@ -66,6 +67,9 @@
     /// Sends an empty frame if the peer waits for a sign of life.
     void keep_alive(steady_time now);
 
+    /// True without TLS, and if the certificate of the peer has this name.
+    bool may_be(const std::string& instance_id) const;
+
     bool is_open() const { return is_open_; }
     bool is_established() const { return is_established_; }
     const std::string& peer_id() const { return peer_id_; }
@@ -77,20 +81,24 @@
 private:
     // The coroutines take the owning pointer as a parameter: a member function's frame holds only
     // `this`, and a spawned coroutine starts after the caller may have dropped the connection.
+    boost::asio::awaitable<void> run_accepted(std::shared_ptr<connection> self);
     boost::asio::awaitable<void> run_outgoing(std::shared_ptr<connection> self,
-                                              boost::asio::ip::tcp::endpoint address,
-                                              queued_frame greeting);
+                                              boost::asio::ip::tcp::endpoint address);
+    /// Returns false after it closed the connection.
+    boost::asio::awaitable<bool> handshake(boost::asio::ssl::stream_base::handshake_type side);
+    void start();
     boost::asio::awaitable<void> read_loop(std::shared_ptr<connection> self);
     boost::asio::awaitable<bool> read_body(std::size_t body_bytes, std::string& body);
-    boost::asio::awaitable<void> write_loop(std::shared_ptr<connection> self,
-                                            queued_frame greeting);
+    boost::asio::awaitable<void> write_loop(std::shared_ptr<connection> self);
     boost::asio::awaitable<bool> write_frame(queued_frame frame);
 
-    boost::asio::ip::tcp::socket socket_;
+    tls_internal::optional_tls_stream<boost::asio::ip::tcp::socket> stream_;
     boost::asio::steady_timer writer_wakeup_;
     const clock_source& clock_;
     const peer_settings settings_;
     connection_owner* owner_;
+    // A member, because GCC 12 garbled it as a parameter of run_accepted's coroutine.
+    queued_frame greeting_;
     std::deque<queued_frame> queue_;
     std::size_t queued_bytes_ = 0;
     std::string remote_address_;
--- a/src/peer/internal/transport_state.cpp
+++ b/src/peer/internal/transport_state.cpp
@@ -96,7 +96,7 @@
     }
     const auto fresh = std::make_shared<connection>(std::move(socket), clock_, settings_, *this);
     connections_.insert(fresh);
-    fresh->start(make_greeting());
+    fresh->accept(make_greeting());
 }
 
 queued_frame transport_state::make_greeting() const
@@ -200,6 +200,9 @@
     else if (!from.expected_peer.empty() && from.expected_peer != greeting.instance_id) {
         reason = "instance " + greeting.instance_id + ", expected " + from.expected_peer;
     }
+    else if (!from.may_be(greeting.instance_id)) {
+        reason = "the certificate does not name instance " + greeting.instance_id;
+    }
     else if (greeting.incarnation < known) {
         reason = "incarnation " + std::to_string(greeting.incarnation) + " is older than " +
                  std::to_string(known);
--- /dev/null
+++ b/src/tls/internal/optional_tls_stream.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "tls/internal/tls_credentials.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace almondline::tls_internal {
+
+/// What the certificate of a server must name. Empty: not checked.
+struct server_identity {
+    std::string ip;
+    std::string name; ///< DNS name, also sent to the server; takes precedence over the IP address
+};
+
+/// Applies the identity to a connection before its handshake. Returns false on a malformed one.
+bool set_identity(SSL* connection, const server_identity& identity);
+
+/// Text of a failed handshake, with the fault of the certificate if there is one.
+std::string describe_failure(const SSL* connection, const boost::system::error_code& ec);
+
+/// True if the certificate of the other side has exactly this DNS name.
+bool has_certificate_name(const SSL* connection, const std::string& name);
+
+/// TCP stream that may carry TLS. For source files only, because compiling OpenSSL's and Asio's
+/// headers takes long. Neither copied nor moved: the TLS stream refers to the lower one.
+template <class Lower>
+class optional_tls_stream {
+public:
+    using executor_type = typename Lower::executor_type;
+    using secure_stream = boost::asio::ssl::stream<Lower&>;
+    using handshake_type = boost::asio::ssl::stream_base::handshake_type;
+
+    explicit optional_tls_stream(Lower lower) : lower_{std::move(lower)} {}
+    optional_tls_stream(const optional_tls_stream&) = delete;
+    optional_tls_stream& operator=(const optional_tls_stream&) = delete;
+
+    executor_type get_executor() noexcept { return lower_.get_executor(); }
+    Lower& lower() { return lower_; }
+    const Lower& lower() const { return lower_; }
+    bool is_tls() const { return secure_.has_value(); }
+
+    template <class Buffers, class Token>
+    auto async_read_some(const Buffers& buffers, Token&& token)
+    {
+        return secure_ ? secure_->async_read_some(buffers, std::forward<Token>(token))
+                       : lower_.async_read_some(buffers, std::forward<Token>(token));
+    }
+
+    template <class Buffers, class Token>
+    auto async_write_some(const Buffers& buffers, Token&& token)
+    {
+        return secure_ ? secure_->async_write_some(buffers, std::forward<Token>(token))
+                       : lower_.async_write_some(buffers, std::forward<Token>(token));
+    }
+
+    /// Returns an empty text or the cause of the failure. Time limits are the caller's task.
+    boost::asio::awaitable<std::string> handshake(handshake_type side,
+                                                  std::shared_ptr<tls_credentials> credentials,
+                                                  const server_identity& identity)
+    {
+        context_ = credentials->current();
+        secure_.emplace(lower_, *context_);
+        if (!set_identity(secure_->native_handle(), identity)) {
+            co_return "TLS: \"" + identity.ip + identity.name + "\" is not a name";
+        }
+        const auto [ec] = co_await secure_->async_handshake(
+            side, boost::asio::as_tuple(boost::asio::use_awaitable));
+        co_return ec ? describe_failure(secure_->native_handle(), ec) : std::string{};
+    }
+
+    /// Tells the other side that nothing follows, so that it does not take the end for a cut.
+    boost::asio::awaitable<void> shutdown_tls()
+    {
+        if (secure_) {
+            co_await secure_->async_shutdown(boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
+    }
+
+    bool is_named(const std::string& name) const
+    {
+        return secure_ &&
+               has_certificate_name(const_cast<secure_stream&>(*secure_).native_handle(), name);
+    }
+
+private:
+    Lower lower_;
+    tls_credentials::context_ptr context_; ///< must outlive the stream
+    std::optional<secure_stream> secure_;
+};
+
+} // namespace almondline::tls_internal
