Measure the memory of an asker

Cause: the cost of a holder had no memory.

Ruled out: splitting the heap of a run with both sides, which malloc statistics cannot do; the asker is measured alone, with asks that get no answer.

--- a/src/bench/internal/control_granting.cpp
+++ b/src/bench/internal/control_granting.cpp
@@ -256,6 +256,31 @@
     return heap_bytes() - before;
 }
 
+/// Sender that keeps no message, so that none counts as memory of its user.
+struct dropping_sender final : peer_sender {
+    void send(const std::string&, const wire::envelope&) override {}
+};
+
+/// Heap of an asker whose asks wait for an answer.
+double asker_memory(int waiting)
+{
+    manual_clock clock;
+    dropping_sender sender;
+    granting::decision_log decisions{clock, 1};
+    const double before = heap_bytes();
+    granting::asker made{{.instance_id = "entry-1000"},
+                         clock,
+                         sender,
+                         [](const std::string&) {
+                             return granting::pool_granter{granter_id, 1};
+                         },
+                         decisions};
+    for (int i = 0; i < waiting; ++i) {
+        made.request_credit(pool, make_ask(i, clock.now()), [](const granting::credit_result&) {});
+    }
+    return heap_bytes() - before;
+}
+
 } // namespace
 
 control_role measure_granting()
@@ -268,6 +293,9 @@
     for (const int waiting : {250, 500, 1000, 2000, 4000}) {
         role.add("memory of asks", "B", "waiting asks", waiting, granter_memory(replicas, waiting));
     }
+    for (const int waiting : {250, 500, 1000, 2000, 4000}) {
+        role.add("memory of an asker", "B", "waiting asks", waiting, asker_memory(waiting));
+    }
     for (const int count : {2, 16, 64, 256}) {
         role.add("memory of replicas", "B", "replicas", count, granter_memory(count, 0));
     }
--- a/src/bench/internal/control_scale.cpp
+++ b/src/bench/internal/control_scale.cpp
@@ -99,6 +99,7 @@
     fit_reader fits{roles};
     const double rate = load_factor * scale.requests_per_second / scale.instances;
     control_cost cost{"holder, " + load};
+    cost.memory_bytes = fits.at("granting", "memory of an asker", max_waiting);
     cost.core_share = fits.at("granting", load + " holder time", rate) * rate / ns_per_second;
     cost.bytes_per_second = fits.at("granting", load + " bytes", rate) * rate;
     cost.is_extrapolated = fits.is_extrapolated;
--- a/src/bench/tests/control_test.cpp
+++ b/src/bench/tests/control_test.cpp
@@ -14,7 +14,8 @@
          {"demand bytes", "demand encode", "demand decode", "claim bytes", "claimed bytes"}},
         {"granting",
          {"steady bytes", "steady granter time", "steady holder time", "overload bytes",
-          "overload granter time", "overload holder time", "memory of asks", "memory of replicas"}},
+          "overload granter time", "overload holder time", "memory of asks", "memory of an asker",
+          "memory of replicas"}},
         {"membership", {"bytes sent", "bytes sent for a failure", "time", "memory"}},
         {"manifest", {"text", "parse", "memory"}},
         {"distribution", {"bytes sent by text bytes", "time by text bytes"}},
@@ -61,6 +62,7 @@
     CHECK(granter.core_share == doctest::Approx(100 * 50e-9));
     CHECK(granter.memory_bytes == doctest::Approx(50 + 50));
     CHECK(find(all, "granter, overload").bytes_per_second == doctest::Approx(200 * 50));
+    CHECK(find(all, "holder, steady").memory_bytes == doctest::Approx(50));
     CHECK(find(all, "holder, steady").bytes_per_second == doctest::Approx(10 * 50));
     CHECK(find(all, "membership").bytes_per_second == doctest::Approx(2 * (50 + 1 * 50)));
     const control_cost& manifest = find(all, "manifest and distribution");
