--- a/src/entry/internal/placement_messages.cpp
+++ b/src/entry/internal/placement_messages.cpp
@@ -77,6 +77,7 @@
         requests[it.model] += std::max(0, it.waiting) + std::max(0, it.running);
     }
     std::vector<placement::model_demand> demand;
+    demand.reserve(requests.size());
     for (const auto& [model, count] : requests) {
         demand.push_back({model, count / slots_per_replica});
     }
--- a/src/entry/tests/placement_control_test.cpp
+++ b/src/entry/tests/placement_control_test.cpp
@@ -104,9 +104,9 @@
 
 TEST_CASE("two live members are candidates for the placement lease, the same on every instance")
 {
-    std::vector<membership::member> members;
-    for (int n = 0; n < 8; ++n) {
-        members.push_back(make_member("e" + std::to_string(n)));
+    std::vector<membership::member> members(8);
+    for (std::size_t n = 0; n < members.size(); ++n) {
+        members[n] = make_member("e" + std::to_string(n));
     }
     const auto chosen = placement_candidates(members);
     REQUIRE(chosen.size() == 2);
--- a/src/placement/http_order_sender.cpp
+++ b/src/placement/http_order_sender.cpp
@@ -65,6 +65,11 @@
 } // namespace
 
 struct http_order_sender::state {
+    state(asio::any_io_executor own_executor, const clock_source& time)
+        : executor{std::move(own_executor)}, clock{time}
+    {
+    }
+
     asio::awaitable<order_status> send_part(endpoint_text address, http_request request,
                                             steady_time until);
     milliseconds time_left(steady_time until) const
--- a/src/placement/tests/order_sender_test.cpp
+++ b/src/placement/tests/order_sender_test.cpp
@@ -15,7 +15,7 @@
 struct fixture {
     std::string address(std::uint16_t port) const { return "127.0.0.1:" + std::to_string(port); }
 
-    order_status send(placement_order order, std::chrono::milliseconds timeout = 500ms)
+    order_status send(const placement_order& order, std::chrono::milliseconds timeout = 500ms)
     {
         std::optional<order_status> result;
         int calls = 0;
--- a/tests/faults/scenarios.py
+++ b/tests/faults/scenarios.py
@@ -288,7 +288,8 @@
          (LowestTierFlood, EntryStopped), (AnswersLost, EngineFrozen)]
 
 # One of each sort, for CI.
-SHORT = [(EntryKilled,), (EngineKilled,), (StreamCut,), (EntryStopped, OperatorsRacing)]
+SHORT = [(EntryKilled,), (EngineKilled,), (StreamCut,), (EntryStopped, OperatorsRacing),
+         (PlacementHolderFrozen,)]
 
 
 def find(names):
