--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -138,8 +138,10 @@
     for (int i = 0; i < callers; ++i) {
         asio::co_spawn(caller_io, call(calls_each), asio::detached);
     }
+    constexpr int server_threads = 2;
     std::vector<std::jthread> threads;
-    for (int i = 0; i < 2; ++i) {
+    threads.reserve(server_threads);
+    for (int i = 0; i < server_threads; ++i) {
         threads.emplace_back([&] { io.run(); });
     }
     caller_io.run();
