--- a/src/backend/reports.cpp
+++ b/src/backend/reports.cpp
@@ -64,6 +64,7 @@
         std::clamp<std::int64_t>(integer_or(parsed, "age_ms", 0), 0, max_age_ms)};
     report.running = count_or_zero(parsed, "running");
     report.waiting = count_or_zero(parsed, "waiting");
+    report.role = string_or(parsed, "role");
     report.kv_used_tokens = tokens_or_zero(parsed, "kv_used_tokens");
     report.kv_capacity_tokens = tokens_or_zero(parsed, "kv_capacity_tokens");
     report.is_leaving = bool_or(parsed, "leaving", false);
--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -37,7 +37,10 @@
 scheduling::slot_view granter_core::slots_at(steady_time now) const
 {
     const auto counts = routing::count_slots(table, now);
-    return {counts.total, now < grants_from_ ? 0 : counts.free};
+    if (now < grants_from_) {
+        return {counts.total, 0, 0};
+    }
+    return {counts.total, counts.free, counts.free_headroom};
 }
 
 void granter_core::flush()
@@ -60,13 +63,16 @@
         return;
     }
     std::vector<scheduling::ask> passed;
+    std::size_t bypassed = 0;
+    std::size_t bypassed_by_model = 0;
     bool is_blocked = false;
     while (!is_blocked) {
         auto next = scheduling::pick(queue, slots_at(now), now);
         if (!next) {
             break;
         }
-        const auto shape = make_shape(*next, lookup_ ? lookup_(next->holder) : std::string{});
+        auto shape = make_shape(*next, lookup_ ? lookup_(next->holder) : std::string{});
+        shape.leaves_headroom = !scheduling::may_use_headroom(queue, *next, now);
         const auto chosen = routing::choose(table, shape, now);
         if (chosen) {
             issue(*next, shape, *chosen, now);
@@ -77,7 +83,12 @@
             refuse(*next, make_no_backend("every usable backend server is excluded"), "refusal");
             continue;
         }
-        is_blocked = is_bypass_over(*next, now) || passed.size() + 1 >= settings.max_bypassed;
+        if (is_served_by_all(next->model)) {
+            is_blocked = is_bypass_over(*next, now) || ++bypassed >= settings.max_bypassed;
+        }
+        else {
+            is_blocked = ++bypassed_by_model >= settings.max_bypassed_by_model;
+        }
         passed.push_back(std::move(*next));
     }
     // In reverse, so that the first one is at the head again.
@@ -93,6 +104,7 @@
     }
     return std::all_of(table.replicas.begin(), table.replicas.end(), [&](const auto& it) {
         return !it.is_present || it.is_leaving || it.spec.is_leaving ||
+               routing::is_draining(it) || !routing::has_model(it, what.model) ||
                std::find(what.excluded.begin(), what.excluded.end(), it.spec.id) !=
                    what.excluded.end();
     });
--- a/src/granting/tests/granting_fixture.h
+++ b/src/granting/tests/granting_fixture.h
@@ -134,12 +134,14 @@
 
     /// Asks at an instance; a granted request is dispatched at once and runs for service.
     void ask(const std::string& holder, const std::string& id, int tier = 1,
-             milliseconds service = 1s, milliseconds deadline = 60s)
+             milliseconds service = 1s, milliseconds deadline = 60s,
+             const std::string& account = "a1")
     {
         scheduling::ask what;
         what.request_id = id;
-        what.account = "a1";
+        what.account = account;
         what.kind = "draft";
+        what.model = model;
         what.tier = tier;
         what.prompt_tokens = 10;
         what.deadline = clock.now() + deadline;
@@ -240,6 +242,7 @@
     std::map<std::string, request_record> records;
     std::map<std::string, std::pair<std::string, steady_time>> running; ///< holder and end
     std::size_t peak = 0;
+    std::string model;          ///< of the next asks
     bool is_dispatching = true; ///< false: grants are received but not used
 };
 
