--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -1,5 +1,7 @@
 #include "entry/caller_api.h"
 
+#include "common/hash.h"
+#include "common/log.h"
 #include "entry/refusals.h"
 #include "entry/request_parser.h"
 #include "entry/request_runner.h"
@@ -80,24 +82,26 @@
 
 asio::awaitable<void> caller_api::run_work(http_exchange& exchange, bool is_completion)
 {
+    const auto request_id = random_id();
     const auto current = context_.manifests.snapshot();
     if (current == nullptr || context_.is_draining) {
         const refusal why{verdict::not_run, context_.is_draining ? "draining" : "not-ready",
                           "this instance takes no new requests; use another address",
                           retry_after_not_ready};
-        context_.metrics.add("almondline_refused_total",
-                             {{"reason", why.code}, {"verdict", "not-run"}});
-        co_await exchange.reply(refusal_response(503, why, std::string{}));
+        count_refusal(why.code);
+        co_await exchange.reply(refusal_response(503, why, request_id));
         co_return;
     }
     auto parsed = parse_work(exchange.request(), is_completion, *current);
     if (const auto* error = std::get_if<api_error>(&parsed)) {
-        context_.metrics.add("almondline_refused_total",
-                             {{"reason", error->code}, {"verdict", "not-run"}});
-        co_await exchange.reply(error_response(*error, std::string{}));
+        count_refusal(error->code);
+        log_event("entry", log_level::info, "refused",
+                  {{"request", request_id}, {"status", error->status}, {"code", error->code}});
+        co_await exchange.reply(error_response(*error, request_id));
         co_return;
     }
     auto request = std::get<caller_request>(std::move(parsed));
+    request.request_id = request_id;
     if (request.idempotency_key.empty()) {
         co_await run_request(context_, std::move(request), exchange);
         co_return;
@@ -105,6 +109,11 @@
     co_await keyed_.run(std::move(request), exchange);
 }
 
+void caller_api::count_refusal(std::string_view code)
+{
+    context_.metrics.add("almondline_refused_total", {{"reason", code}, {"verdict", "not-run"}});
+}
+
 asio::awaitable<bool> caller_api::handle(http_exchange& exchange)
 {
     const auto& request = exchange.request();
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -46,6 +46,7 @@
 
 private:
     boost::asio::awaitable<void> run_work(http_exchange& exchange, bool is_completion);
+    void count_refusal(std::string_view code);
     http_response list_addresses() const;
     http_response mint_identity(const http_request& request);
 
--- a/src/entry/tests/caller_api_test.cpp
+++ b/src/entry/tests/caller_api_test.cpp
@@ -165,6 +165,7 @@
         return f.call(make_call("POST", "/v1/chat/completions", completion_body, key));
     };
     CHECK(post("").response.status == 401);
+    CHECK(header_of(post(""), "X-Request-Id").size() == 32);
     CHECK(post("wrong").response.status == 401);
     f.is_draining = true;
     const auto draining = post("large-key");
