Compare plain-service calls in the overhead measurement

Cause: the stand-in engine works in steps of 1 ms, so the same program showed 0.26 to 1.3 ms added at the median from run to run. Ruled out by a profile (perf, 6 s of calls): no function above 3.3%.

--- a/src/bench/internal/overhead.cpp
+++ b/src/bench/internal/overhead.cpp
@@ -33,7 +33,8 @@
     std::string name;
     endpoint_text address;
     std::string key;
-    int pid = 0; ///< 0: processor time not wanted
+    int pid = 0;      ///< 0: processor time not wanted
+    std::string path; ///< of a plain service; empty: chat completions
 };
 
 double since(steady::time_point start)
@@ -52,6 +53,11 @@
     if (!to.key.empty()) {
         request.headers.push_back({"Authorization", "Bearer " + to.key});
     }
+    if (!to.path.empty()) {
+        request.method = "GET";
+        request.target = to.path;
+        return request;
+    }
     request.body = R"({"model":")" + model + R"(","stream":true,"max_tokens":)" +
                    std::to_string(tokens) +
                    R"(,"messages":[{"role":"user","content":"How long does a call take?"}]})";
@@ -81,7 +87,8 @@
     }
     out.whole_ms = since(start);
     out.bytes = body.size();
-    out.is_complete = failure.empty() && body.find("[DONE]") != body.npos;
+    const bool has_end = !to.path.empty() || body.find("[DONE]") != body.npos;
+    out.is_complete = failure.empty() && response.status == 200 && has_end;
     co_return out;
 }
 
@@ -188,36 +195,63 @@
     return complete == options.streams && bytes > 0;
 }
 
-} // namespace
-
-bool run_overhead(const overhead_options& options)
+/// The direct destination and the entries, for the engine or for the plain service.
+std::vector<destination> make_targets(const overhead_options& options, bool is_plain)
 {
-    std::vector<destination> targets{{"engine directly", options.engine, "", 0}};
+    const std::string path = "/seats";
+    destination direct{"engine directly", options.engine, "", 0, ""};
+    if (is_plain) {
+        direct = {"plain service directly", options.plain, "", 0, path};
+    }
+    const std::string entry_path = is_plain ? "/services/" + options.plain_service + path : "";
+    std::vector<destination> targets{direct};
     for (std::size_t i = 0; i < options.entries.size(); ++i) {
         const int pid = i < options.entry_pids.size() ? options.entry_pids[i] : 0;
-        targets.push_back({"entry " + std::to_string(i), options.entries[i], options.key, pid});
+        targets.push_back(
+            {"entry " + std::to_string(i), options.entries[i], options.key, pid, entry_path});
     }
+    return targets;
+}
+
+bool compare_calls(const overhead_options& options, bool is_plain)
+{
+    const auto targets = make_targets(options, is_plain);
     std::vector<series> results(targets.size());
     asio::io_context io;
     asio::co_spawn(io, alternate(targets, options, results), asio::detached);
     io.run();
-    if (options.calls > 0) {
-        print_calls(targets, results, options.calls);
-    }
-    if (options.streams == 0) {
-        return std::all_of(results.begin(), results.end(),
-                           [](const series& it) { return it.failed == 0; });
-    }
+    print_calls(targets, results, options.calls);
+    return std::all_of(results.begin(), results.end(),
+                       [](const series& it) { return it.failed == 0; });
+}
+
+bool compare_streams(const overhead_options& options)
+{
+    constexpr int numbers_apart = 100'000;
     std::printf("| streams through | opened | complete | s | tokens/s | processor s |\n"
                 "| --- | --- | --- | --- | --- | --- |\n");
-    constexpr int numbers_apart = 100'000;
     bool is_ok = true;
-    for (std::size_t n = 0; n < targets.size(); ++n) {
-        const int first = numbers_apart * static_cast<int>(n + 1);
-        is_ok = run_streams(targets[n], options, first) && is_ok;
+    int first = numbers_apart;
+    for (const auto& it : make_targets(options, false)) {
+        is_ok = run_streams(it, options, first) && is_ok;
+        first += numbers_apart;
+    }
+    return is_ok;
+}
+
+} // namespace
+
+bool run_overhead(const overhead_options& options)
+{
+    bool is_ok = true;
+    if (options.calls > 0) {
+        is_ok = compare_calls(options, false);
+    }
+    if (options.calls > 0 && !options.plain_service.empty()) {
+        is_ok = compare_calls(options, true) && is_ok;
     }
-    for (const auto& it : results) {
-        is_ok = is_ok && it.failed == 0;
+    if (options.streams > 0) {
+        is_ok = compare_streams(options) && is_ok;
     }
     return is_ok;
 }
--- a/src/bench/internal/overhead.h
+++ b/src/bench/internal/overhead.h
@@ -10,6 +10,8 @@
 
 struct overhead_options {
     endpoint_text engine;               ///< asked directly
+    endpoint_text plain;                ///< server of a plain service, asked directly
+    std::string plain_service;          ///< its name at the entries; empty: not compared
     std::vector<endpoint_text> entries; ///< each is compared with the direct calls
     std::vector<int> entry_pids;        ///< of the entries, for their processor time
     std::string key;                    ///< bearer key for the entries
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -54,12 +54,15 @@
 struct overhead_arguments {
     overhead_options options;
     std::string engine;
+    std::string plain;
     std::vector<std::string> entries;
 };
 
 void add_overhead_options(CLI::App& command, overhead_arguments& to)
 {
     command.add_option("--engine", to.engine, "IP:PORT of the engine")->required();
+    command.add_option("--plain", to.plain, "IP:PORT of a server of a plain service");
+    command.add_option("--plain-service", to.options.plain_service, "its name at the entries");
     command.add_option("--entry", to.entries, "IP:PORT of an entry instance; may be repeated");
     command.add_option("--entry-pid", to.options.entry_pids, "process ids of the entry instances");
     command.add_option("--key", to.options.key, "bearer key for the entry instances");
@@ -71,6 +74,9 @@
 int run_overhead_command(overhead_arguments& arguments)
 {
     bool is_valid = almondline::parse_endpoint(arguments.engine, arguments.options.engine);
+    if (!arguments.plain.empty()) {
+        is_valid = almondline::parse_endpoint(arguments.plain, arguments.options.plain) && is_valid;
+    }
     for (const auto& it : arguments.entries) {
         is_valid =
             almondline::parse_endpoint(it, arguments.options.entries.emplace_back()) && is_valid;
--- a/tests/overhead.py
+++ b/tests/overhead.py
@@ -34,6 +34,7 @@
     with Fleet() as fleet:
         fleet.start_platform()
         engine = fleet.start_engine("engine-0", ENGINE_CLASS[0], DOMAINS[0], FAST_ENGINE)
+        plain = fleet.start_plain("booking-0", DOMAINS[0])
         for i in range(3):
             fleet.start_entry(f"entry-{i}", DOMAINS[i])
         published = fleet.publish(make_manifest(), 0)
@@ -44,15 +45,16 @@
         time.sleep(MEMBERSHIP_SETTLES)
         owners = [name for name in fleet.entries
                   if any(it["pool"] == "assistant" for it in fleet.status(name)["pools"])]
-        print(f"granter of the engine: {', '.join(owners)}")
+        print(f"granter of the engine: {', '.join(owners)}", flush=True)
         command = [program("almondline-bench", None), "overhead",
                    "--engine", engine.address,
                    "--key", manifests.account_key("north"), "--model", manifests.MODEL]
         for entry in fleet.entries.values():
             command += ["--entry", entry.address, "--entry-pid", str(entry.child.pid)]
-        calls = subprocess.run([*command, "--streams", "0"], check=False, timeout=300)
+        plain_options = ["--plain", plain.address, "--plain-service", "booking"]
+        calls = subprocess.run([*command, *plain_options, "--streams", "0"], check=False, timeout=300)
         fleet.change_settings(engine, slow_factor=PACED_SLOW_FACTOR)
-        print(f"\n{STREAMS} streams of 25 tokens/s each:")
+        print(f"\n{STREAMS} streams of 25 tokens/s each:", flush=True)
         streams = subprocess.run([*command, "--calls", "0", "--streams", str(STREAMS)],
                                  check=False, timeout=300)
         return calls.returncode or streams.returncode
