Bound the bodies of all requests in progress together

Cause: a body may have 8 MB and an instance 10,000 connections, so callers within their own limits could use up the memory. Ruled out: a lower limit for each body (large prompts need it); counting what was read (a slow upload would pass the check and grow later). Before: no bound. After: 256 MB by default, setting entry.max_total_body_bytes; http_tests has the refusal and the recovery. Conclusion: the announced length is reserved before the body is read; a chunked body reserves the limit of one body.

--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -39,6 +39,8 @@
          "How long callers may keep the answer of /v1/addresses."},
         {"entry", "max_connections", t::integer, false, "10000", "Most open caller connections."},
         {"entry", "max_body_bytes", t::integer, false, "8388608", "Largest request body."},
+        {"entry", "max_total_body_bytes", t::integer, false, "268435456",
+         "Bodies of all requests in progress together."},
         {"store", "addresses", t::addresses, true, "", "Addresses of the key-value service."},
         {"store", "timeout", t::duration, false, "2s", "Limit of one call."},
         {"list", "address", t::address, true, "", "Address of the instance list."},
@@ -87,6 +89,7 @@
     out.address_lifetime = values.duration("entry.address_lifetime");
     out.max_connections = values.integer("entry.max_connections");
     out.max_body_bytes = values.integer("entry.max_body_bytes");
+    out.max_total_body_bytes = values.integer("entry.max_total_body_bytes");
     for (const auto& it : values.list("store.addresses")) {
         out.store_addresses.push_back(endpoint_of(it));
     }
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -23,6 +23,7 @@
     std::chrono::milliseconds address_lifetime{0};
     std::size_t max_connections = 0;
     std::size_t max_body_bytes = 0;
+    std::size_t max_total_body_bytes = 0;
     std::vector<endpoint_text> store_addresses;
     std::chrono::milliseconds store_timeout{0};
     endpoint_text list_address;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -112,6 +112,7 @@
     http_server_limits out;
     out.max_connections = settings_.max_connections;
     out.max_body_bytes = settings_.max_body_bytes;
+    out.max_total_body_bytes = settings_.max_total_body_bytes;
     return out;
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "common/log.h"
+#include "http/internal/body_reservation.h"
 #include "tls/internal/optional_tls_stream.h"
 
 #include <algorithm>
@@ -71,6 +72,27 @@
     return 400;
 }
 
+/// Bytes that a body may take: the announced length, or the limit if it comes in chunks.
+std::uint64_t expected_body(const http::request_parser<http::string_body>& parser,
+                            const http_server_limits& limits)
+{
+    if (parser.chunked()) {
+        return limits.max_body_bytes;
+    }
+    const auto length = parser.content_length();
+    return length ? std::min<std::uint64_t>(*length, limits.max_body_bytes) : 0;
+}
+
+http_response out_of_memory_response()
+{
+    auto response = json_response(
+        503, R"({"error":{"code":"too-many-bytes","message":"too many request bodies in progress",)"
+             R"("verdict":"not-run","retry_after_ms":1000}})");
+    response.headers.push_back({"X-Verdict", "not-run"});
+    response.headers.push_back({"Retry-After", "1"});
+    return response;
+}
+
 bool is_connection_end(const boost::system::error_code& ec)
 {
     return ec == http::error::end_of_stream || ec == asio::error::connection_reset ||
@@ -240,6 +262,7 @@
     std::atomic<bool> is_stopping{false};
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> requests{0};
+    std::atomic<std::uint64_t> body_bytes{0}; ///< reserved for requests in progress
 };
 
 asio::awaitable<void> http_server::state::accept_loop(std::shared_ptr<state> self)
@@ -290,6 +313,13 @@
     if (ec == beast::error::timeout && buf.size() == 0) {
         co_return false;
     }
+    const body_reservation reserved{body_bytes, limits.max_total_body_bytes,
+                                    ec ? 0 : expected_body(parser, limits)};
+    if (!reserved.is_granted()) {
+        exchange refused{stream, buf, {}, false, limits};
+        co_await refused.reply(out_of_memory_response());
+        co_return false;
+    }
     if (!ec) {
         stream.lower().expires_after(limits.read_timeout);
         std::tie(ec, n) = co_await http::async_read(stream, buf, parser, use_tuple);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -18,6 +18,9 @@
     std::size_t max_connections = 10'000;
     std::uint32_t max_header_bytes = 16 * 1024;
     std::uint64_t max_body_bytes = 8 * 1024 * 1024;
+    /// Bodies of all requests in progress together. Without it, many callers that each stay within
+    /// max_body_bytes could use up the memory.
+    std::uint64_t max_total_body_bytes = 256 * 1024 * 1024;
     std::chrono::milliseconds read_timeout{30'000};     ///< for the body of one request
     std::chrono::milliseconds idle_timeout{60'000};     ///< for the header, and between requests
     std::chrono::milliseconds write_timeout{10'000};    ///< for one write; ends slow readers
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -88,6 +88,43 @@
     CHECK(f.server.requests_in_progress() == 0);
 }
 
+// Guards against callers that together use up the memory, each within its own limit.
+TEST_CASE("http_server refuses a body beyond the bytes of all requests in progress, and recovers")
+{
+    asio::io_context io;
+    std::uint16_t port = 0;
+    int second_status = 0;
+    const auto handler = [&](http_exchange& exchange) -> asio::awaitable<void> {
+        if (exchange.request().target == "/hold") {
+            const endpoint_text address{"127.0.0.1", port};
+            const http_timeouts timeouts;
+            const http_request second{"POST", "/", {}, std::string(60, 'x')};
+            const auto result = co_await call_http(address, second, timeouts);
+            second_status = result.response.status;
+        }
+        co_await exchange.reply(json_response(200, "{}"));
+    };
+    http_server_limits limits;
+    limits.max_total_body_bytes = 100;
+    http_server server{io, {"127.0.0.1", 0}, limits, handler};
+    port = server.port();
+    std::vector<int> statuses;
+    const auto run = [&]() -> asio::awaitable<void> {
+        const endpoint_text address{"127.0.0.1", port};
+        const http_timeouts timeouts;
+        for (const char* target : {"/hold", "/"}) {
+            const http_request request{"POST", target, {}, std::string(60, 'x')};
+            const auto result = co_await call_http(address, request, timeouts);
+            statuses.push_back(result.response.status);
+        }
+        io.stop();
+    };
+    asio::co_spawn(io, run(), asio::detached);
+    io.run();
+    CHECK(second_status == 503);
+    CHECK(statuses == std::vector<int>{200, 200});
+}
+
 TEST_CASE("call_http reports not_connected when nothing listens")
 {
     std::uint16_t port = 0;
