--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -271,6 +271,8 @@
 asio::awaitable<void> request_run::refuse(int status, const refusal& why)
 {
     record_end(status, why.run, why.code);
+    context_.metrics.add("almondline_refused_total",
+                         {{"reason", why.code}, {"verdict", to_string(why.run)}});
     if (co_await sink_.break_off(why)) {
         co_return;
     }
--- a/src/entry/tests/caller_api_test.cpp
+++ b/src/entry/tests/caller_api_test.cpp
@@ -155,6 +155,8 @@
     CHECK(header_of(result, "Retry-After") == "2");
     CHECK(result.response.body.find(R"("code":"shed")") != std::string::npos);
     CHECK(result.response.body.find(R"("retry_after_ms":1500)") != std::string::npos);
+    CHECK(f.metrics.value("almondline_refused_total",
+                          {{"reason", "shed"}, {"verdict", "not-run"}}) == 1);
 }
 
 TEST_CASE(
