--- a/src/entry/tests/operator_api_test.cpp
+++ b/src/entry/tests/operator_api_test.cpp
@@ -27,8 +27,8 @@
     operator_functions functions()
     {
         operator_functions out;
-        out.status = [](operator_functions::deliver done) { done(R"({"instance":"e1"})"); };
-        out.explain = [this](std::string id, operator_functions::deliver done) {
+        out.status = [](const operator_functions::deliver& done) { done(R"({"instance":"e1"})"); };
+        out.explain = [this](const std::string& id, const operator_functions::deliver& done) {
             explained = id;
             done("{}");
         };
@@ -103,7 +103,7 @@
 
 TEST_CASE("no operator function runs without the operator key, and none at all without a key hash")
 {
-    for (const std::string hash : {sha256_hex("secret"), std::string{}}) {
+    for (const auto& hash : {sha256_hex("secret"), std::string{}}) {
         CAPTURE(hash);
         operator_fixture f{hash};
         CHECK(f.call("POST", "/operator/drain", "").status == 401);
