Share the stand-ins' error response and the target of a credit

Cause: four stand-in sources held the same error_response(), and a request parsed the address of its credit in two places. Ruled out: one error body for stand-ins and entry instances; the entry's carries a verdict and a time to come back, the stand-ins' must not. Before: four copies, two parses. Conclusion: behaviour unchanged.

--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -82,6 +82,7 @@
     asio::awaitable<void> dispatch();
     asio::awaitable<void> dispatch_until_closed();
     asio::awaitable<void> dispatch_to_server();
+    backend::target backend_server() const;
     bool may_retry();
     void release();
     asio::awaitable<void> answer();
@@ -144,13 +145,17 @@
     co_return true;
 }
 
+backend::target request_run::backend_server() const
+{
+    backend::target server;
+    server.id = credit_.backend_id;
+    parse_endpoint(credit_.backend_address, server.address);
+    return server;
+}
+
 asio::awaitable<void> request_run::dispatch_to_server()
 {
-    const backend::target to{credit_.backend_id, [&] {
-                                 endpoint_text address;
-                                 parse_endpoint(credit_.backend_address, address);
-                                 return address;
-                             }()};
+    const auto to = backend_server();
     auto message = request_.forward;
     message.headers.push_back({"X-Request-Id", request_.request_id});
     if (request_.type == service_type::plain) {
@@ -191,9 +196,7 @@
     }
     const bool is_cancelled = outcome_.end == backend::dispatch_end::stopped;
     if (is_cancelled && request_.type == service_type::model) {
-        endpoint_text address;
-        parse_endpoint(credit_.backend_address, address);
-        const backend::target engine{credit_.backend_id, address};
+        const auto engine = backend_server();
         co_await backend::cancel_stream(engine, request_.request_id, context_.limits);
     }
     release();
--- a/src/standins/engine_service.cpp
+++ b/src/standins/engine_service.cpp
@@ -4,6 +4,7 @@
 #include "common/json.h"
 #include "common/log.h"
 #include "standins/internal/engine_state.h"
+#include "standins/internal/error_response.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -19,15 +20,6 @@
 constexpr std::size_t max_cache_events = 4096;
 constexpr std::string_view streams_prefix = "/v1/streams/";
 
-http_response error_response(int status, std::string_view message)
-{
-    boost::json::object error;
-    error["message"] = message;
-    boost::json::object body;
-    body["error"] = std::move(error);
-    return json_response(status, boost::json::serialize(body));
-}
-
 http_response not_admitted(std::string_view message)
 {
     auto response = error_response(503, message);
--- a/src/standins/internal/engine_control.cpp
+++ b/src/standins/internal/engine_control.cpp
@@ -1,6 +1,7 @@
 #include "common/json.h"
 #include "common/log.h"
 #include "standins/internal/engine_state.h"
+#include "standins/internal/error_response.h"
 
 #include <algorithm>
 #include <boost/json/array.hpp>
@@ -19,15 +20,6 @@
 
 constexpr std::string_view kv_prefix = "/v1/kv/";
 
-http_response error_response(int status, std::string_view message)
-{
-    json::object error;
-    error["message"] = message;
-    json::object body;
-    body["error"] = std::move(error);
-    return json_response(status, json::serialize(body));
-}
-
 json::value read_json(const std::string& body)
 {
     return boost::leaf::try_handle_all([&] { return parse_json(body); },
--- a/src/standins/internal/standin_server.cpp
+++ b/src/standins/internal/standin_server.cpp
@@ -1,6 +1,7 @@
 #include "standins/internal/standin_server.h"
 
 #include "common/log.h"
+#include "standins/internal/error_response.h"
 #include "standins/internal/faulty_exchange.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -19,15 +20,6 @@
 
 constexpr std::chrono::milliseconds reopen_retry_delay{20};
 
-http_response error_response(int status, std::string_view message)
-{
-    boost::json::object error;
-    error["message"] = message;
-    boost::json::object body;
-    body["error"] = std::move(error);
-    return json_response(status, boost::json::serialize(body));
-}
-
 bool is_control_path(std::string_view path)
 {
     constexpr std::string_view prefix = "/standin/";
--- a/src/standins/platform_service.cpp
+++ b/src/standins/platform_service.cpp
@@ -1,6 +1,7 @@
 #include "standins/platform_service.h"
 
 #include "common/json.h"
+#include "standins/internal/error_response.h"
 #include "standins/internal/key_value_model.h"
 #include "standins/internal/standin_server.h"
 #include "standins/internal/wait_signal.h"
@@ -30,15 +31,6 @@
 constexpr std::string_view weights_prefix = "/v1/weights/";
 constexpr std::string_view instances_prefix = "/standin/instances/";
 
-http_response error_response(int status, std::string_view message)
-{
-    json::object error;
-    error["message"] = message;
-    json::object body;
-    body["error"] = std::move(error);
-    return json_response(status, json::serialize(body));
-}
-
 http_response number_response(int status, std::string_view name, std::uint64_t number)
 {
     json::object body;
