Judge backend servers by a failure rate instead of the last failure

Plain calls, whose score is always 0, all went to the first server. A caller that leaves a silent server counts against the server.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -560,13 +560,26 @@
 {
     stopped_ = cause;
     if (end_ != attempt_end::completed) {
-        end_ = attempt_end::stopped;
+        end_ = is_server_silent() ? attempt_end::silent : attempt_end::stopped;
     }
     may_have_run_ = may_have_run_ || is_sent_;
     connection_.reset();
     release();
 }
 
+/// True if nothing came from the server for so long that it, not the caller, is to blame for the
+/// end of the request.
+bool request_flow::is_server_silent() const
+{
+    if (!is_sent_ || first_event_ != steady_time{}) {
+        return false;
+    }
+    const auto limits = context_.limits;
+    const milliseconds wanted{
+        static_cast<std::int64_t>(route_->target_latency.count() * limits.latency_patience)};
+    return context_.clock.now() - dispatched_ >= std::max(limits.min_patience, wanted);
+}
+
 asio::awaitable<void> request_flow::finish()
 {
     if (stopped_ == stop_cause::caller_left) {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -46,6 +46,7 @@
     bool plan_next();
     attempt_facts facts() const;
     void stop(stop_cause cause);
+    bool is_server_silent() const;
     boost::asio::awaitable<void> finish();
     boost::asio::awaitable<void> refuse(int status, refusal why);
     boost::asio::awaitable<void> answer();
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -76,7 +76,8 @@
     result.first_token = prefill_wait(of, now) + prefill;
     result.score =
         result.first_token +
-        table.config.decode_weight * decode_time(table, of, request.output_tokens, share + others);
+        table.config.decode_weight * decode_time(table, of, request.output_tokens, share + others) +
+        table.config.failure_penalty * of.failure_rate + table.config.balance_weight * share;
     return result;
 }
 
--- a/src/routing/internal/load.cpp
+++ b/src/routing/internal/load.cpp
@@ -54,6 +54,9 @@
 
 bool is_eased(const replica_table& table, const replica& of, steady_time now)
 {
+    if (table.config.uses_eased_when_none_healthy && table.healthy == 0 && of.is_reachable) {
+        return false;
+    }
     return of.health == replica_health::eased || is_silent(table, of, now);
 }
 
--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -197,9 +197,19 @@
     return of.health != replica_health::eased || work.is_probe;
 }
 
-void ease_off(const replica_table& table, replica& of, steady_time now)
+void count_healthy(replica_table& table)
+{
+    table.healthy = static_cast<int>(
+        std::count_if(table.replicas.begin(), table.replicas.end(), [](const replica& each) {
+            return each.is_present && !each.is_leaving && !each.spec.is_leaving &&
+                   each.health == replica_health::healthy;
+        }));
+}
+
+void ease_off(replica_table& table, replica& of, steady_time now)
 {
     of.health = replica_health::eased;
+    count_healthy(table);
     of.failures += 1;
     // Probing less often spares requests only while another replica takes them. Without one, each
     // request is refused until a probe succeeds.
@@ -212,15 +222,17 @@
 
 /// A good answer. A replica that failed often is taken back after several of them, one probe at a
 /// time.
-void note_success(const replica_table& table, replica& of, steady_time now)
+void note_success(replica_table& table, replica& of, steady_time now)
 {
     of.failures = 0;
+    of.is_reachable = true;
     of.failure_rate -= table.config.failure_weight * of.failure_rate;
     if (of.health == replica_health::eased) {
         of.next_probe = now;
     }
-    if (of.failure_rate < table.config.recover_below) {
+    if (of.health == replica_health::eased && of.failure_rate < table.config.recover_below) {
         of.health = replica_health::healthy;
+        count_healthy(table);
     }
 }
 
@@ -266,6 +278,7 @@
     if (!known->is_kv_reported) {
         known->kv_capacity = spec.kv_tokens;
     }
+    count_healthy(table);
     mark_headroom(table);
 }
 
@@ -278,6 +291,7 @@
     forget_all_blocks(table, it->second);
     table.replicas[it->second] = {};
     table.index.erase(it);
+    count_healthy(table);
     mark_headroom(table);
 }
 
@@ -285,6 +299,7 @@
 {
     if (replica* of = find(table, id)) {
         of->is_leaving = true;
+        count_healthy(table);
         mark_headroom(table);
     }
 }
@@ -398,6 +413,7 @@
     }
     const bool is_judged = count_failure(*of, request_id, now);
     of->failure_rate = 1;
+    of->is_reachable = false;
     if (is_judged) {
         ease_off(table, *of, now);
     }
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -88,6 +88,7 @@
 
     replica_health health = replica_health::healthy;
     int failures = 0; ///< in a row
+    bool is_reachable = true; ///< the last attempt to connect succeeded
     double failure_rate = 0; ///< of the latest requests, 0 to 1
     steady_time next_probe{};
     int probes_in_flight = 0;
@@ -123,6 +124,15 @@
     /// second.
     double ease_above = 0.35;
     double recover_below = 0.2;
+    /// Added to the score of a replica, in s, times its failure rate. Moves work to replicas that
+    /// fail less before any is eased off.
+    double failure_penalty = 0;
+    /// Added to the score of a replica, in s, times the share of its slots in use. Spreads work
+    /// whose service time is not known.
+    double balance_weight = 0;
+    /// While no replica is healthy, those that answer get work as if they were: refusing all of it
+    /// serves nobody.
+    bool uses_eased_when_none_healthy = false;
     /// Share of max_in_flight above the mean share of all replicas at which a prefix hit no longer
     /// counts.
     double affinity_slack = 0.5;
@@ -153,6 +163,7 @@
 /// Replicas of one slice.
 struct replica_table {
     routing_config config;
+    int healthy = 0; ///< replicas that may get work and are not eased off
     std::vector<replica> replicas;
     std::vector<class_speed> classes;
     std::unordered_map<std::string, std::uint32_t> index;                       ///< by id
