--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -30,6 +30,11 @@
     return std::chrono::duration_cast<milliseconds>(now - from);
 }
 
+milliseconds part_of(milliseconds whole, double part)
+{
+    return milliseconds{static_cast<std::int64_t>(static_cast<double>(whole.count()) * part)};
+}
+
 bool is_event_stream(const http_response& response)
 {
     return find_header(response.headers, "Content-Type").starts_with("text/event-stream");
@@ -164,8 +169,7 @@
     if (!may_repeat || servers_reached_ >= route_->max_attempts) {
         return time_left() + milliseconds{1};
     }
-    const milliseconds wanted{static_cast<std::int64_t>(target.count() * factor)};
-    return std::max(context_.limits.min_patience, wanted);
+    return std::max(context_.limits.min_patience, part_of(target, factor));
 }
 
 double request_flow::allowance_cost() const
@@ -179,6 +183,17 @@
     return call_.size->prompt_tokens + call_.size->max_output_tokens;
 }
 
+/// When a request that has no server yet is given up.
+steady_time request_flow::wait_limit() const
+{
+    if (route_->kind != route_kind::stream || has_started_) {
+        return deadline_;
+    }
+    const auto patience = context_.protocol.stream_patience(*route_);
+    return std::min(deadline_,
+                    started_ + part_of(patience, context_.limits.waiting_part_of_patience));
+}
+
 scheduling::ask request_flow::make_ask() const
 {
     scheduling::ask what;
@@ -188,7 +203,9 @@
         tier_of(*routes_->content, account_ == nullptr ? 0 : account_->urgency, route_->urgency);
     what.model = call_.model;
     what.arrived = started_;
-    what.deadline = deadline_;
+    what.deadline = wait_limit();
+    what.goal =
+        started_ + part_of(route_->target_latency, 1 - context_.limits.server_part_of_target);
     what.excluded = excluded_;
     what.prefix_blocks = call_.prefix_blocks;
     what.cost = plain_cost;
@@ -575,8 +592,7 @@
         return false;
     }
     const auto limits = context_.limits;
-    const milliseconds wanted{
-        static_cast<std::int64_t>(route_->target_latency.count() * limits.latency_patience)};
+    const auto wanted = part_of(route_->target_latency, limits.latency_patience);
     return context_.clock.now() - dispatched_ >= std::max(limits.min_patience, wanted);
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -54,6 +54,7 @@
 
     scheduling::ask make_ask() const;
     double allowance_cost() const;
+    steady_time wait_limit() const;
     std::chrono::milliseconds time_left() const;
     std::chrono::milliseconds patience(std::chrono::milliseconds target, double factor) const;
     std::string server_key() const { return credit_.backend_id + "@" + credit_.backend_address; }
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -74,7 +74,7 @@
     std::vector<tier_policy> tiers;
     for (const int account : of_accounts) {
         for (const int route : of_routes) {
-            tiers.push_back({tier_name(account, route), 0});
+            tiers.push_back({tier_name(account, route), 0, account});
         }
     }
     return tiers;
--- a/src/gateway/types/flow_limits.h
+++ b/src/gateway/types/flow_limits.h
@@ -23,6 +23,11 @@
     int max_foreign_responses = 4;
     /// Retry-After of refusals that the queue has no forecast for.
     std::chrono::milliseconds default_retry_after{300};
+    /// Part of a target latency that is left for the server when a request is to be on time.
+    double server_part_of_target = 0.4;
+    /// Part of the callers' patience after which a stream that still waits is refused, so that the
+    /// caller hears when to come back.
+    double waiting_part_of_patience = 0.8;
     /// No attempt begins with less than this left of the request's time.
     std::chrono::milliseconds min_attempt_time{20};
 };
--- a/src/granting/internal/messages.cpp
+++ b/src/granting/internal/messages.cpp
@@ -88,6 +88,9 @@
     ask.__set_prefix_blocks({what.prefix_blocks.begin(), what.prefix_blocks.end()});
     ask.__set_prompt_tokens(what.prompt_tokens);
     ask.__set_output_tokens(what.output_tokens);
+    if (what.goal != steady_time{}) {
+        ask.__set_goal_ms(time_until(what.goal, now).count());
+    }
     if (what.allowance_cost > 0) {
         ask.__set_allowance_cost(what.allowance_cost);
     }
@@ -114,6 +117,9 @@
     what.prompt_tokens = read_amount(message.prompt_tokens);
     what.output_tokens = read_amount(message.output_tokens);
     what.allowance_cost = read_amount(message.allowance_cost);
+    if (message.__isset.goal_ms) {
+        what.goal = now + read_time(message.goal_ms);
+    }
     what.arrived = now;
     what.deadline = now + read_time(message.deadline_ms);
     what.estimated_service = read_time(message.estimated_service_ms);
--- a/src/granting/pools.cpp
+++ b/src/granting/pools.cpp
@@ -58,6 +58,13 @@
     return it == granters_.end() ? nullptr : it->second.get();
 }
 
+scheduling::queue_config pools::make_config(const service_policy& service) const
+{
+    auto config = scheduling::make_queue_config(*manifest_, service);
+    config.yield_share = settings_.yield_share;
+    return config;
+}
+
 void pools::create(const service_policy& service)
 {
     granter_settings settings = settings_.granter;
@@ -68,7 +75,7 @@
         scheduling::reconfigure(allowances_, manifest_->accounts, clock_.now());
     }
     auto made = std::make_unique<granter>(
-        settings, scheduling::make_queue_config(*manifest_, service), clock_, sender_, decisions_,
+        settings, make_config(service), clock_, sender_, decisions_,
         lookup_, &allowances_);
     update_replicas(*made, service);
     granters_.emplace(service.name, std::move(made));
@@ -102,7 +109,7 @@
     scheduling::reconfigure(allowances_, manifest_->accounts, clock_.now());
     for (auto& [name, granter] : granters_) {
         const auto* service = find_service(*manifest_, name);
-        granter->reconfigure(scheduling::make_queue_config(*manifest_, *service));
+        granter->reconfigure(make_config(*service));
         update_replicas(*granter, *service);
     }
     update_ownership(members_);
--- a/src/granting/pools.h
+++ b/src/granting/pools.h
@@ -17,6 +17,7 @@
 struct pools_settings {
     granter_settings granter; ///< of each granter; instance and pool are filled in
     scheduling::allowance_settings allowances;
+    double yield_share = 0; ///< see scheduling::queue_config
     /// One instance owns all pools, so that allowances are counted in one place. Otherwise each
     /// pool has an owner of its own.
     bool has_common_owner = false;
@@ -51,6 +52,7 @@
 
 private:
     void create(const service_policy& service);
+    scheduling::queue_config make_config(const service_policy& service) const;
     void forget_replica(const std::string& id);
     void update_replicas(granter& target, const service_policy& service);
 
--- a/src/manifest/types/manifest.h
+++ b/src/manifest/types/manifest.h
@@ -16,6 +16,9 @@
 struct tier_policy {
     std::string name;
     double floor = 0; ///< share of the dispatch slots kept for it, 0 to 1
+    /// Tiers of one group follow each other. While a group has work, the next one gets
+    /// queue_config::yield_share of the dispatch slots.
+    int group = 0;
 };
 
 /// Kind of work, for example "draft" or "layout-check".
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -72,6 +72,8 @@
   14: optional string model,
   // Tokens that count against the account's allowance.
   15: optional double allowance_cost,
+  // Time left until the request misses its latency objective.
+  16: optional i64 goal_ms,
 }
 
 struct grant_message {
--- a/src/scheduling/internal/order.cpp
+++ b/src/scheduling/internal/order.cpp
@@ -206,17 +206,30 @@
     return what;
 }
 
-waiting_ask* head_of(const tier_queue& tier)
+waiting_ask* head_of(const tier_queue& tier, steady_time now)
 {
-    return tier.order.empty() ? nullptr : head_of(*std::get<2>(*tier.order.begin()));
+    return tier.order.empty() ? nullptr : head_of(*std::get<2>(*tier.order.begin()), now);
 }
 
-waiting_ask* head_of(const kind_queue& kind)
+waiting_ask* head_of(const kind_queue& kind, steady_time now)
 {
     if (kind.order.empty()) {
         return nullptr;
     }
-    return std::get<2>(*kind.order.begin())->asks.begin()->second;
+    return head_of(*std::get<2>(*kind.order.begin()), now);
+}
+
+waiting_ask* head_of(const flow& of, steady_time now)
+{
+    const auto is_late = [&](const waiting_ask& it) {
+        return it.what.goal != steady_time{} && it.what.goal < now;
+    };
+    waiting_ask* oldest = of.asks.begin()->second;
+    if (!is_late(*oldest)) {
+        return oldest;
+    }
+    waiting_ask* newest = of.asks.rbegin()->second;
+    return is_late(*newest) ? oldest : newest;
 }
 
 bool has_backlog(const queue_state& queue, const flow& of, steady_time now)
@@ -230,7 +243,7 @@
         while (!kind->prompt.empty()) {
             flow* first = std::get<2>(*kind->prompt.begin());
             if (!has_backlog(queue, *first, now)) {
-                return first->asks.begin()->second;
+                return head_of(*first, now);
             }
             kind->prompt.erase(kind->prompt.begin());
         }
--- a/src/scheduling/internal/order.h
+++ b/src/scheduling/internal/order.h
@@ -21,8 +21,12 @@
 ask remove_waiting(queue_state& queue, waiting_ask& entry);
 
 /// Next ask of the tier, or of one kind in it, by start tag. Null if none is ready.
-waiting_ask* head_of(const tier_queue& tier);
-waiting_ask* head_of(const kind_queue& kind);
+waiting_ask* head_of(const tier_queue& tier, steady_time now);
+waiting_ask* head_of(const kind_queue& kind, steady_time now);
+
+/// The oldest ask, or the newest once the oldest has missed its goal: serving late asks first would
+/// make all of them late under overload. The flow must not be empty.
+waiting_ask* head_of(const flow& of, steady_time now);
 
 /// True if the asks of the flow have waited without a break for queue_config::backlog_after.
 bool has_backlog(const queue_state& queue, const flow& of, steady_time now);
--- a/src/scheduling/queue.cpp
+++ b/src/scheduling/queue.cpp
@@ -99,10 +99,10 @@
     return what;
 }
 
-waiting_ask* find_reserved(const queue_state& queue)
+waiting_ask* find_reserved(const queue_state& queue, steady_time now)
 {
     for (const tier_queue& tier : queue.tiers) {
-        waiting_ask* head = unfilled(tier.floor) > 0 ? head_of(tier) : nullptr;
+        waiting_ask* head = unfilled(tier.floor) > 0 ? head_of(tier, now) : nullptr;
         if (head != nullptr) {
             return head;
         }
@@ -113,7 +113,7 @@
         }
         for (const tier_queue& tier : queue.tiers) {
             const auto kind = tier.kinds.find(name);
-            waiting_ask* head = kind == tier.kinds.end() ? nullptr : head_of(kind->second);
+            waiting_ask* head = kind == tier.kinds.end() ? nullptr : head_of(kind->second, now);
             if (head != nullptr) {
                 return head;
             }
@@ -122,14 +122,30 @@
     return nullptr;
 }
 
-waiting_ask* find_next(const queue_state& queue)
+const tier_queue* find_busy_tier(const queue_state& queue, int min_group)
 {
-    for (const tier_queue& tier : queue.tiers) {
-        if (waiting_ask* head = head_of(tier)) {
-            return head;
+    const auto it =
+        std::find_if(queue.tiers.begin(), queue.tiers.end(), [&](const tier_queue& each) {
+            return each.group >= min_group && !each.order.empty();
+        });
+    return it == queue.tiers.end() ? nullptr : &*it;
+}
+
+waiting_ask* find_next(queue_state& queue, steady_time now)
+{
+    const tier_queue* first = find_busy_tier(queue, std::numeric_limits<int>::min());
+    if (first == nullptr) {
+        return nullptr;
+    }
+    const tier_queue* yielded_to = find_busy_tier(queue, first->group + 1);
+    if (yielded_to != nullptr) {
+        queue.yield_credit += queue.config.yield_share;
+        if (queue.yield_credit >= 1) {
+            queue.yield_credit -= 1;
+            return head_of(*yielded_to, now);
         }
     }
-    return nullptr;
+    return head_of(*first, now);
 }
 
 bool is_recent(steady_time when, const queue_config& config, steady_time now)
@@ -164,7 +180,7 @@
 waiting_ask* find_next_in_headroom(queue_state& queue, steady_time now)
 {
     for (tier_queue& tier : queue.tiers) {
-        waiting_ask* head = head_of(tier);
+        waiting_ask* head = head_of(tier, now);
         if (head != nullptr && is_headroom_needed(queue, tier.rank, head->in->account, now)) {
             head = head_without_backlog(queue, tier, now);
         }
@@ -188,6 +204,7 @@
     for (std::size_t i = 0; i < queue.tiers.size(); ++i) {
         queue.tiers[i].rank = static_cast<int>(i);
         queue.tiers[i].name = queue.config.tiers[i].name;
+        queue.tiers[i].group = queue.config.tiers[i].group;
         queue.tiers[i].floor.share = std::clamp(queue.config.tiers[i].floor, 0.0, 1.0);
     }
     for (const auto& [name, policy] : queue.config.kinds) {
@@ -200,6 +217,7 @@
 {
     queue_state next = make_queue(std::move(config));
     next.last_total_slots = queue.last_total_slots;
+    next.yield_credit = queue.yield_credit;
     next.mean_cost = queue.mean_cost;
     next.mean_held = queue.mean_held;
     next.finished = queue.finished;
@@ -293,10 +311,10 @@
     if (slots.free <= 0) {
         return std::nullopt;
     }
-    waiting_ask* next = find_reserved(queue);
+    waiting_ask* next = find_reserved(queue, now);
     if (next == nullptr && slots.free > unfilled_slots) {
         const bool is_headroom = slots.free <= slots.free_headroom;
-        next = is_headroom ? find_next_in_headroom(queue, now) : find_next(queue);
+        next = is_headroom ? find_next_in_headroom(queue, now) : find_next(queue, now);
     }
     if (next == nullptr) {
         return std::nullopt;
--- a/src/scheduling/types/ask.h
+++ b/src/scheduling/types/ask.h
@@ -23,6 +23,8 @@
     double allowance_cost = 0; ///< tokens that count against the account's allowance
     steady_time arrived{};
     steady_time deadline{};
+    /// Dispatched later, the request misses its latency objective. Epoch: it has none.
+    steady_time goal{};
     std::chrono::milliseconds estimated_service{0}; ///< least time from dispatch to the end
     std::vector<std::uint64_t> prefix_blocks;       ///< chained hashes of the prompt's blocks
     std::vector<std::string> excluded;              ///< backend servers not to be offered again
--- a/src/scheduling/types/queue_config.h
+++ b/src/scheduling/types/queue_config.h
@@ -16,6 +16,9 @@
     std::map<std::string, kind_policy> kinds;
     std::map<std::string, account_policy> accounts;
     std::size_t max_waiting = 1000;
+    /// Part of the picks that go to the next group of tiers while a more urgent group has work, so
+    /// that no group starves. 0: none.
+    double yield_share = 0;
     /// A floor stays reserved for this long after the last arrival that it is for.
     std::chrono::milliseconds demand_window{5000};
     /// An account whose asks have waited for this long without a break has a backlog.
--- a/src/scheduling/types/queue_state.h
+++ b/src/scheduling/types/queue_state.h
@@ -108,6 +108,7 @@
 
 struct tier_queue {
     int rank = 0;
+    int group = 0;
     std::string name;
     floor_state floor;
     double virtual_time = 0; ///< among its kinds
@@ -149,6 +150,7 @@
     std::uint64_t next_sequence = 1ULL << 32U;
     std::uint64_t front_sequence = 1ULL << 32U; ///< counts down, for asks put back
     std::uint64_t next_number = 1;
+    double yield_credit = 0; ///< picks that the next group has earned
     int last_total_slots = 0;
     double mean_cost = 0;       ///< of finished asks
     double mean_held = 0;       ///< s between pick and finish of finished asks
