--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -14,6 +14,7 @@
 node::node(boost::asio::io_context& io, const clock_source& clock, key_value_store& store,
            const node_settings& settings, node_callbacks callbacks)
     : clock_{clock}, may_suspects_own_pools_{settings.may_suspects_own_pools},
+      may_own_alone_from_{clock.now() + settings.lone_start},
       callbacks_{std::move(callbacks)}, members{settings.self, settings.membership,
                                                 stable_hash(settings.self.id), clock.now()},
       transport{io, clock, settings.peer,
@@ -114,7 +115,8 @@
             out.push_back(it);
         }
     }
-    if (!is_draining_) {
+    const bool is_settled = !out.empty() || clock_.now() >= may_own_alone_from_;
+    if (!is_draining_ && is_settled) {
         out.push_back(members.self());
     }
     return out;
@@ -152,7 +154,8 @@
             owned.forget_holder(it.id);
         }
     }
-    keys.emplace_back(members.self().id, members.self().incarnation, members.self().status);
+    const bool may_own_alone = clock_.now() >= may_own_alone_from_;
+    keys.emplace_back(members.self().id, may_own_alone ? 1 : 0, members.self().status);
     std::sort(keys.begin(), keys.end());
     if (keys == known_members_) {
         return;
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -30,6 +30,9 @@
     /// Suspects keep their pools until they are declared dead. Off, pools move back and forth with
     /// a slow instance, but a dead granter is replaced sooner.
     bool may_suspects_own_pools = true;
+    /// A process that knows no other member owns no pool until this long after its start, so that
+    /// processes that start together do not each own all of them.
+    std::chrono::milliseconds lone_start{0};
 };
 
 struct node_callbacks {
@@ -72,6 +75,7 @@
 
     const clock_source& clock_;
     bool may_suspects_own_pools_;
+    steady_time may_own_alone_from_;
     node_callbacks callbacks_;
     std::vector<member_key> known_members_;
     bool is_draining_ = false;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -237,6 +237,14 @@
     while (true) {
         auto ask = make_ask();
         const auto decision = co_await wait_for_credit(context_.credits, service_, std::move(ask));
+        const bool is_ownerless =
+            !decision.granted && decision.why.code == granting::code_no_granter;
+        if (is_ownerless && time_left() > context_.limits.owner_wait) {
+            asio::steady_timer pause{co_await asio::this_coro::executor,
+                                     context_.limits.owner_wait};
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
         if (!decision.granted) {
             refusal_ = decision.why;
             is_refused_ = true;
--- a/src/gateway/types/flow_limits.h
+++ b/src/gateway/types/flow_limits.h
@@ -28,6 +28,8 @@
     /// Part of the callers' patience after which a stream that still waits is refused, so that the
     /// caller hears when to come back.
     double waiting_part_of_patience = 0.8;
+    /// Until an ask is repeated while no instance owns the pool.
+    std::chrono::milliseconds owner_wait{50};
     /// No attempt begins with less than this left of the request's time.
     std::chrono::milliseconds min_attempt_time{20};
 };
--- a/src/scheduling/allowance.h
+++ b/src/scheduling/allowance.h
@@ -18,7 +18,7 @@
     double slack = 0;
     /// Share of the burst that a new book starts with. The book of the granter before may have
     /// spent all of it.
-    double initial_share = 0.5;
+    double initial_share = 0.15;
 };
 
 struct allowance_bucket {
--- a/src/scheduling/tests/allowance_test.cpp
+++ b/src/scheduling/tests/allowance_test.cpp
@@ -18,7 +18,11 @@
 }
 
 struct fixture {
-    fixture() { reconfigure(book, {limited_account(100, 200)}, clock.now()); }
+    fixture()
+    {
+        book.settings.initial_share = 0.5;
+        reconfigure(book, {limited_account(100, 200)}, clock.now());
+    }
 
     bool take(double tokens) { return !charge(book, "a", tokens, clock.now()); }
 
