--- a/src/fleet/replica_registry.h
+++ b/src/fleet/replica_registry.h
@@ -16,7 +16,7 @@
     /// Entries that lapsed during an outage of the list are back by this time after its return.
     std::chrono::milliseconds return_grace{2500};
     /// Reads that fail for this long are an outage.
-    std::chrono::milliseconds outage_after{1000};
+    std::chrono::milliseconds outage_after{1500};
     /// What is known of a server that ended is kept for this long, so that a late read does not
     /// bring it back.
     std::chrono::milliseconds forget_after{60'000};
