Find other instances within the first seconds

Cause: after all processes were killed, the list still named the dead ones for the six seconds of their leases, so an instance counted them as members, read the list again only after 2 to 5 s, and after 700 ms took itself for alone. Change: the list is read every 200 ms during the first 3 s and while no member is known to be alive.

--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -122,6 +122,14 @@
     return out;
 }
 
+bool node::has_live_peer() const
+{
+    const auto all = members.all_members();
+    return std::any_of(all.begin(), all.end(), [](const auto& it) {
+        return it.incarnation != 0 && it.status == member_status::alive;
+    });
+}
+
 std::size_t node::possible_member_count() const
 {
     const auto all = members.all_members();
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -59,6 +59,8 @@
     void apply_list(const std::vector<listed_instance>& instances);
 
     std::string failure_domain_of(const std::string& id) const;
+    /// True if another member is known to be alive.
+    bool has_live_peer() const;
     bool is_draining() const { return is_draining_; }
     std::size_t member_count() const { return known_members_.size(); }
     /// Members that may hold credits: neither dead nor, as far as known, replaced.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds stop_check_interval{50};
 /// Until servers and other instances are known, they are asked for this often.
 constexpr milliseconds first_poll_interval{200};
+/// Instances that start together find each other in the list only after all have registered.
+constexpr milliseconds youth{3'000};
 /// Callers keep using the addresses that they were told for a while.
 constexpr double kept_address_lifetimes = 1.2;
 /// Part of the stop limit in which new requests are still taken, and the part after which the
@@ -118,7 +120,7 @@
 gateway::gateway(asio::io_context& io, const clock_source& clock, const gateway_settings& settings,
                  const membership::member& self, gateway_parts parts)
     : io_{io}, clock_{clock}, settings_{settings}, parts_{std::move(parts)}, connections_{clock, {}},
-      retries_{settings.retries, {}}, node_{io, clock, parts_.store,
+      started_{clock.now()}, retries_{settings.retries, {}}, node_{io, clock, parts_.store,
                                             make_node_settings(settings, self, parts_.manifests),
                                             {[this] { on_manifest(); }, [] {},
                                              [](const std::string&, const wire::envelope&) {
@@ -227,7 +229,8 @@
         if (!are_servers_known_) {
             poll_servers();
         }
-        if (node_.member_count() < 2) {
+        const bool is_young = clock_.now() - started_ < youth;
+        if (is_young || !node_.has_live_peer()) {
             poll_members();
         }
     });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,6 +72,7 @@
     metrics_registry metrics_;
     fleet::replica_registry replicas_;
     connection_pool connections_;
+    steady_time started_;
     retry_window retries_;
     fleet::node node_;
     fleet::registration registration_;
