--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,7 +74,7 @@
     out.asker.holdings_interval = milliseconds{1'000};
     out.pools.has_common_owner = true;
     out.pools.allowances = settings.allowances;
-    out.pools.yield_share = 0.3;
+    out.pools.yield_share = 0.5;
     out.pools.granter.credit_lifetime = milliseconds{1'500};
     out.pools.granter.takeover_delay = milliseconds{100};
     out.pools.granter.holder_timeout = milliseconds{4'000};
