Keep long streams off replicas that are too slow for them

Change: asks carry the time by which the response has to be complete, replicas that would be overdue are avoided, and a first token that comes in time counts the same on a slow replica, so that fast ones stay free for those that need them.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -204,6 +204,7 @@
     what.model = call_.model;
     what.arrived = started_;
     what.deadline = wait_limit();
+    what.complete_by = deadline_;
     what.goal =
         started_ + part_of(route_->target_latency, 1 - context_.limits.server_part_of_target);
     what.excluded = excluded_;
--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -99,7 +99,7 @@
         if (!next) {
             break;
         }
-        auto shape = make_shape(*next, lookup_ ? lookup_(next->holder) : std::string{});
+        auto shape = make_shape(*next, lookup_ ? lookup_(next->holder) : std::string{}, now);
         shape.leaves_headroom = !scheduling::may_use_headroom(queue, *next, now);
         const auto chosen = routing::choose(table, shape, now);
         if (chosen) {
--- a/src/granting/internal/messages.cpp
+++ b/src/granting/internal/messages.cpp
@@ -88,6 +88,9 @@
     ask.__set_prefix_blocks({what.prefix_blocks.begin(), what.prefix_blocks.end()});
     ask.__set_prompt_tokens(what.prompt_tokens);
     ask.__set_output_tokens(what.output_tokens);
+    if (what.complete_by != steady_time{}) {
+        ask.__set_complete_ms(time_until(what.complete_by, now).count());
+    }
     if (what.goal != steady_time{}) {
         ask.__set_goal_ms(time_until(what.goal, now).count());
     }
@@ -117,6 +120,9 @@
     what.prompt_tokens = read_amount(message.prompt_tokens);
     what.output_tokens = read_amount(message.output_tokens);
     what.allowance_cost = read_amount(message.allowance_cost);
+    if (message.__isset.complete_ms) {
+        what.complete_by = now + read_time(message.complete_ms);
+    }
     if (message.__isset.goal_ms) {
         what.goal = now + read_time(message.goal_ms);
     }
@@ -203,9 +209,16 @@
     return message;
 }
 
-routing::request_shape make_shape(const scheduling::ask& what, std::string failure_domain)
+routing::request_shape make_shape(const scheduling::ask& what, std::string failure_domain,
+                                  steady_time now)
 {
     routing::request_shape shape;
+    if (what.goal != steady_time{}) {
+        shape.first_token_goal = time_until(what.goal, now);
+    }
+    if (what.complete_by != steady_time{}) {
+        shape.time_left = time_until(what.complete_by, now);
+    }
     shape.request_id = what.request_id;
     shape.prompt_tokens = what.prompt_tokens;
     shape.output_tokens = what.output_tokens;
--- a/src/granting/internal/messages.h
+++ b/src/granting/internal/messages.h
@@ -32,7 +32,8 @@
 
 wire::envelope make_cancel_message(const std::string& pool, const std::string& request_id);
 
-routing::request_shape make_shape(const scheduling::ask& what, std::string failure_domain);
+routing::request_shape make_shape(const scheduling::ask& what, std::string failure_domain,
+                                  steady_time now);
 
 /// "id=score", or "id=state" for one that could not be used.
 std::string describe(const routing::candidate& it);
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -74,6 +74,8 @@
   15: optional double allowance_cost,
   // Time left until the request misses its latency objective.
   16: optional i64 goal_ms,
+  // Time left until the response has to be complete.
+  17: optional i64 complete_ms,
 }
 
 struct grant_message {
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -64,6 +64,26 @@
     double score = 0;       ///< s, weighted
 };
 
+/// Part of the time to the first token that counts: all of it without a goal, or what is beyond it.
+/// Fast replicas stay free for the requests that need them.
+double late_seconds(const request_shape& request, double first_token)
+{
+    if (!request.first_token_goal) {
+        return first_token;
+    }
+    const std::chrono::duration<double> goal = *request.first_token_goal;
+    return std::max(0.0, first_token - goal.count());
+}
+
+bool is_overdue(const request_shape& request, double seconds)
+{
+    if (!request.time_left) {
+        return false;
+    }
+    const std::chrono::duration<double> left = *request.time_left;
+    return seconds > left.count();
+}
+
 expectation expect(const replica_table& table, const replica& of, const request_shape& request,
                    double hit_tokens, double mean, steady_time now)
 {
@@ -74,10 +94,14 @@
     const double prefill = (request.prompt_tokens - result.hit_tokens) / of.prefill_rate;
     const double others = others_in_flight(table, of, now) / of.spec.max_in_flight;
     result.first_token = prefill_wait(of, now) + prefill;
-    result.score =
-        result.first_token +
-        table.config.decode_weight * decode_time(table, of, request.output_tokens, share + others) +
-        table.config.failure_penalty * of.failure_rate + table.config.balance_weight * share;
+    const double decode = decode_time(table, of, request.output_tokens, share + others);
+    result.score = late_seconds(request, result.first_token) +
+                   table.config.decode_weight * decode +
+                   table.config.failure_penalty * of.failure_rate +
+                   table.config.balance_weight * share;
+    if (is_overdue(request, result.first_token + decode)) {
+        result.score += table.config.overdue_penalty;
+    }
     return result;
 }
 
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -127,6 +127,9 @@
     /// Added to the score of a replica, in s, times its failure rate. Moves work to replicas that
     /// fail less before any is eased off.
     double failure_penalty = 0;
+    /// Added to the score of a replica, in s, that is expected to be too slow to complete the
+    /// response in time.
+    double overdue_penalty = 0;
     /// Added to the score of a replica, in s, times the share of its slots in use. Spreads work
     /// whose service time is not known.
     double balance_weight = 0;
--- a/src/routing/types/request_shape.h
+++ b/src/routing/types/request_shape.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +17,11 @@
     std::vector<std::uint64_t> prefix_blocks; ///< chained hashes of the prompt's blocks, in order
     std::vector<std::string> excluded;        ///< backend servers not to be chosen
     std::string failure_domain;               ///< of the entry instance that will dispatch
+    /// A first token within this time is on time; a faster one is not better. Not set: the faster
+    /// the better.
+    std::optional<std::chrono::milliseconds> first_token_goal;
+    /// Until the response has to be complete. Not set: not known.
+    std::optional<std::chrono::milliseconds> time_left;
     bool leaves_headroom = false; ///< goes to replicas that keep headroom only if no other is free
 };
 
--- a/src/scheduling/types/ask.h
+++ b/src/scheduling/types/ask.h
@@ -25,6 +25,7 @@
     steady_time deadline{};
     /// Dispatched later, the request misses its latency objective. Epoch: it has none.
     steady_time goal{};
+    steady_time complete_by{}; ///< the response has to be complete by then. Epoch: not known
     std::chrono::milliseconds estimated_service{0}; ///< least time from dispatch to the end
     std::vector<std::uint64_t> prefix_blocks;       ///< chained hashes of the prompt's blocks
     std::vector<std::string> excluded;              ///< backend servers not to be offered again
