Count the delay that a prompt causes to the streams beside it

Cause: a chunk of a prompt takes 35 ms on a slow replica; four of them fall into one event of the streams beside it, whose pause then passes 200 ms.

--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -97,6 +97,7 @@
     const double decode = decode_time(table, of, request.output_tokens, share + others);
     result.score = late_seconds(request, result.first_token) +
                    table.config.decode_weight * decode +
+                   table.config.interference_weight * prefill * of.in_flight +
                    table.config.failure_penalty * of.failure_rate +
                    table.config.balance_weight * share;
     if (is_overdue(request, result.first_token + decode)) {
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -130,6 +130,10 @@
     /// Added to the score of a replica, in s, that is expected to be too slow to complete the
     /// response in time.
     double overdue_penalty = 0;
+    /// Weight of the delay that a prompt causes to the streams that run beside it: its prefill time
+    /// is added to the score once for each of them. Slow replicas with many streams get fewer long
+    /// prompts.
+    double interference_weight = 0;
     /// Added to the score of a replica, in s, times the share of its slots in use. Spreads work
     /// whose service time is not known.
     double balance_weight = 0;
