--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// Part of the accounts' common slack that buckets hold. The rest covers requests that are counted
-/// when they ask for a credit and reach a server later.
-constexpr double bucket_part_of_slack = 0.3;
-
 endpoint_text endpoint_of(const settings& values, std::string_view name)
 {
     endpoint_text value;
@@ -54,8 +50,11 @@
         {"retries", "window", t::duration, false, "10s", "Time in which repeats are counted."},
         {"retries", "extra", t::number, false, "20",
          "Repeats in a window beyond the ratio, of all instances together."},
+        {"allowances", "overage", t::number, false, "0",
+         "Share by which an account may exceed its allowance in a window."},
         {"allowances", "slack", t::number, false, "0",
-         "Tokens by which an account may exceed its allowance in a short time."},
+         "Tokens by which an account may exceed its allowance in a window, beyond the share."},
+        {"allowances", "window", t::duration, false, "8s", "Time in which the excess is counted."},
         {"log", "level", t::text, false, "info", "Lowest level: debug, info, warning or error."},
     };
     return specs;
@@ -85,7 +84,9 @@
     out.retries.ratio = values.number("retries.ratio");
     out.retries.window = values.duration("retries.window");
     out.retries.extra = values.number("retries.extra");
-    out.allowances.slack = bucket_part_of_slack * values.number("allowances.slack");
+    out.allowances.overage = values.number("allowances.overage");
+    out.allowances.slack = values.number("allowances.slack");
+    out.allowances.window = values.duration("allowances.window");
     out.log_level = values.text("log.level");
     log_level level{};
     if (!parse_log_level(out.log_level, level)) {
--- a/src/scheduling/allowance.cpp
+++ b/src/scheduling/allowance.cpp
@@ -10,6 +10,15 @@
 
 constexpr double min_rate = 1e-3;
 
+/// Tokens per second that an account gets: its rate and a part of the permitted excess.
+double refill_rate(const allowance_settings& settings, const account_policy& account)
+{
+    const std::chrono::duration<double> window = settings.window;
+    const double allowed = account.allowance_rate * window.count() + account.allowance_burst;
+    const double excess = settings.overage + settings.slack / std::max(1.0, allowed);
+    return account.allowance_rate * (1 + settings.refill_part * excess);
+}
+
 void refill(const allowance_book& book, allowance_bucket& of, steady_time now)
 {
     const std::chrono::duration<double> elapsed = now - of.updated;
@@ -30,15 +39,15 @@
         limited.insert(it.name);
         const auto [found, is_new] = book.buckets.try_emplace(it.name);
         auto& bucket = found->second;
-        bucket.capacity = it.allowance_burst + book.settings.slack;
+        bucket.capacity = it.allowance_burst + book.settings.bucket_part * book.settings.slack;
         if (is_new) {
-            bucket.rate = it.allowance_rate;
+            bucket.rate = refill_rate(book.settings, it);
             bucket.updated = now;
             bucket.tokens = book.settings.initial_share * bucket.capacity * book.share;
             continue;
         }
         refill(book, bucket, now);
-        bucket.rate = it.allowance_rate;
+        bucket.rate = refill_rate(book.settings, it);
     }
     std::erase_if(book.buckets, [&](const auto& it) { return !limited.contains(it.first); });
 }
--- a/src/scheduling/allowance.h
+++ b/src/scheduling/allowance.h
@@ -13,9 +13,14 @@
 namespace almondline::scheduling {
 
 struct allowance_settings {
-    /// Tokens that a bucket holds above the account's burst. Spares accounts that use their whole
-    /// allowance refusals caused by requests that are counted a little early.
+    /// What an account may use in a window beyond its rate and burst: a share of both, and tokens.
+    double overage = 0;
     double slack = 0;
+    std::chrono::milliseconds window{8'000};
+    /// Parts of the excess that the refill and the bucket give out. The rest covers requests that
+    /// are counted when they ask for a credit and reach a server later, and changes of the granter.
+    double refill_part = 0.35;
+    double bucket_part = 0.25;
     /// Share of the burst that a new book starts with. The book of the granter before may have
     /// spent all of it.
     double initial_share = 0.15;
--- a/src/scheduling/tests/allowance_test.cpp
+++ b/src/scheduling/tests/allowance_test.cpp
@@ -97,6 +97,31 @@
     CHECK_FALSE(f.take(1));
 }
 
+// The bound of the excess holds for any window, so what refill and bucket give out must stay within
+// it together.
+TEST_CASE("a part of the permitted excess is given out, and never more than all of it")
+{
+    for (const double rate : {1e2, 1e4, 1e6}) {
+        fixture f;
+        f.book = {};
+        f.book.settings.overage = 0.1;
+        f.book.settings.slack = 110'000;
+        const auto account = limited_account(rate, rate);
+        reconfigure(f.book, {account}, f.clock.now());
+        f.clock.advance(100s);
+        double used = 0;
+        for (int i = 0; i < 800; ++i) {
+            while (f.take(rate / 100)) {
+                used += rate / 100;
+            }
+            f.clock.advance(10ms);
+        }
+        CAPTURE(rate);
+        CHECK(used > 9 * rate);
+        CHECK(used <= 9 * rate * 1.1 + 110'000);
+    }
+}
+
 TEST_CASE("an account without a limit, or unknown, is never refused")
 {
     fixture f;
