Allow for estimates of output that are too low

The largest tenth of resident-chat was cut at its limit on slow replicas, as estimates are right at the median only. The check against the time left takes twice the estimate.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -279,6 +279,9 @@
                             {"backend", credit_.backend_id},
                             {"credit", credit_.credit_id},
                             {"manifest", routes_->content->version},
+                            {"prompt_tokens", call_.size ? call_.size->prompt_tokens : 0},
+                            {"expected_tokens", call_.expected_output_tokens.value_or(0)},
+                            {"max_tokens", call_.size ? call_.size->max_output_tokens : 0},
                             {"waited_ms", since(started_, dispatched_).count()},
                             {"left_ms", time_left().count()}});
     const bool is_connected = co_await connect();
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -100,7 +100,7 @@
                    table.config.interference_weight * prefill * of.in_flight +
                    table.config.failure_penalty * of.failure_rate +
                    table.config.balance_weight * share;
-    if (is_overdue(request, result.first_token + decode)) {
+    if (is_overdue(request, result.first_token + table.config.overdue_margin * decode)) {
         result.score += table.config.overdue_penalty;
     }
     return result;
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -130,6 +130,9 @@
     /// Added to the score of a replica, in s, that is expected to be too slow to complete the
     /// response in time.
     double overdue_penalty = 0;
+    /// Expected output is taken this many times for that: estimates are often far too low, and a
+    /// stream that is cut at its limit wasted all of its time on the replica.
+    double overdue_margin = 2;
     /// Weight of the delay that a prompt causes to the streams that run beside it: its prefill time
     /// is added to the score once for each of them. Slow replicas with many streams get fewer long
     /// prompts.
