Buffer the log, tell readiness from ownership, test the contract with the platform

The log goes to standard output from a bounded buffer that never blocks; SIGHUP puts another log level in force. An instance counts as ready only when an owner of the pools is known: a request in the first 700 ms waited for one (found by the test of a planned stop). Tests: 18 cases on real processes against stand-ins of the store and the replicas, and the buffer's own.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 if (($#)); then
     sources=("$@")
 else
-    mapfile -t sources < <(git ls-files 'src/*.cpp' 'src/*.h' | grep -v '/generated/')
+    mapfile -t sources < <(git ls-files 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v '/generated/')
 fi
 clang-format-14 --dry-run --Werror "${sources[@]}"
 # GCC 12 destroys aggregate temporaries within a co_await expression twice.
--- a/scripts/settings_reference.sh
+++ b/scripts/settings_reference.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Compares the settings table in docs/operating.md with the program's own description, or writes it:
+# Compares the settings tables of the pages with the programs' own descriptions, or writes it:
 # scripts/settings_reference.sh [--write]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -9,15 +9,17 @@
 import sys
 
 begin, end = "<!-- settings -->\n", "<!-- end of settings -->\n"
-page = pathlib.Path("docs/operating.md")
-text = page.read_text()
-table = subprocess.run(["build/release/bin/almondline-entry", "--describe-settings"],
-                       capture_output=True, text=True, check=True).stdout
-head, rest = text.split(begin)
-tail = rest.split(end)[1]
-wanted = head + begin + "\n" + table + "\n" + end + tail
-if sys.argv[1] == "--write":
-    page.write_text(wanted)
-elif wanted != text:
-    sys.exit("docs/operating.md: the settings table differs; run scripts/settings_reference.sh --write")
+pages = {"docs/operating.md": "almondline-entry", "docs/platform.md": "almondline-gateway"}
+for name, program in pages.items():
+    page = pathlib.Path(name)
+    text = page.read_text()
+    table = subprocess.run([f"build/release/bin/{program}", "--describe-settings"],
+                           capture_output=True, text=True, check=True).stdout
+    head, rest = text.split(begin)
+    tail = rest.split(end)[1]
+    wanted = head + begin + "\n" + table + "\n" + end + tail
+    if sys.argv[1] == "--write":
+        page.write_text(wanted)
+    elif wanted != text:
+        sys.exit(f"{name}: the settings table differs; run scripts/settings_reference.sh --write")
 PY
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -1,7 +1,10 @@
 #include "common/log.h"
 
+#include "common/bounded_output.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -13,7 +16,9 @@
 #include <iostream>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <shared_mutex>
+#include <unistd.h>
 
 namespace almondline {
 
@@ -49,8 +54,36 @@
     return "error";
 }
 
+std::optional<bounded_output>& buffered_output()
+{
+    static std::optional<bounded_output> output;
+    return output;
+}
+
+/// Sink backend of Boost.Log over the buffered output.
+class buffered_backend : public logging::sinks::basic_formatted_sink_backend<char> {
+public:
+    void consume(const logging::record_view& /*record*/, const string_type& line)
+    {
+        buffered_output()->add(line);
+    }
+};
+
+void install_buffered_sink()
+{
+    auto target = boost::make_shared<buffered_backend>();
+    auto sink =
+        boost::make_shared<logging::sinks::synchronous_sink<buffered_backend>>(std::move(target));
+    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+    logging::core::get()->add_sink(sink);
+}
+
 void install_sink()
 {
+    if (buffered_output()) {
+        install_buffered_sink();
+        return;
+    }
     using backend = logging::sinks::text_ostream_backend;
     auto target = boost::make_shared<backend>();
     target->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
@@ -157,6 +190,23 @@
     table.by_component.insert_or_assign(std::string{component}, level);
 }
 
+void buffer_log(std::size_t max_pending_bytes)
+{
+    buffered_output().emplace(STDOUT_FILENO, max_pending_bytes);
+}
+
+void flush_log()
+{
+    if (buffered_output()) {
+        buffered_output()->flush();
+    }
+}
+
+std::uint64_t dropped_log_lines()
+{
+    return buffered_output() ? buffered_output()->dropped_lines() : 0;
+}
+
 void set_log_instance(std::string instance_id)
 {
     level_table& table = levels();
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -36,6 +37,14 @@
 /// True if a line of this component and level would be written. For lines that are costly to build.
 bool is_log_enabled(std::string_view component, log_level level);
 
+/// Writes the lines to standard output instead of standard error, from a buffer of at most
+/// max_pending_bytes that flush_log() empties without blocking. For processes with one thread; to
+/// be called before the first line.
+void buffer_log(std::size_t max_pending_bytes);
+void flush_log();
+/// Lines that did not fit the buffer.
+std::uint64_t dropped_log_lines();
+
 /// Sets the lowest level that a component writes; "*" sets the default. May be called while
 /// running.
 void set_log_level(std::string_view component, log_level level);
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -56,7 +56,8 @@
 boost::leaf::result<settings> parse_settings(const std::string& content, const std::string& path,
                                              const std::vector<setting_spec>& spec);
 
-/// Parses "250ms", "3s", "2.5s", "5m" or "1h", to whole milliseconds. Returns false for anything else.
+/// Parses "250ms", "3s", "2.5s", "5m" or "1h", to whole milliseconds. Returns false for anything
+/// else.
 bool parse_duration(std::string_view text, std::chrono::milliseconds& value);
 
 /// IP address and port of "IP:PORT".
--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -27,9 +27,7 @@
 
 void control_plane::begin_drain()
 {
-    asio::post(state_->io, [state = state_] {
-        state->node.begin_drain();
-    });
+    asio::post(state_->io, [state = state_] { state->node.begin_drain(); });
 }
 
 void control_plane::request(const std::string& pool, scheduling::ask what,
@@ -64,7 +62,8 @@
 
 void control_plane::cancel(const std::string& pool, const std::string& request_id)
 {
-    asio::post(state_->io, [state = state_, pool, request_id] { state->node.asker.cancel(request_id); });
+    asio::post(state_->io,
+               [state = state_, pool, request_id] { state->node.asker.cancel(request_id); });
 }
 
 std::shared_ptr<const manifest_snapshot> control_plane::snapshot() const
@@ -75,8 +74,9 @@
 
 void control_plane::record(const std::string& request_id, const std::string& line)
 {
-    asio::post(state_->io,
-               [state = state_, request_id, line] { state->node.decisions.keep(request_id, line); });
+    asio::post(state_->io, [state = state_, request_id, line] {
+        state->node.decisions.keep(request_id, line);
+    });
 }
 
 std::vector<advertised_address> control_plane::addresses() const
--- a/src/entry/internal/control_state.cpp
+++ b/src/entry/internal/control_state.cpp
@@ -135,7 +135,8 @@
     };
     out.holder = [this](const std::string& id, std::int64_t incarnation) {
         idempotency::holder_info info;
-        info.is_gone = node.members.state_of(id, incarnation) == membership::incarnation_state::gone;
+        info.is_gone =
+            node.members.state_of(id, incarnation) == membership::incarnation_state::gone;
         const auto* it = node.members.find(id);
         info.caller_address = it == nullptr ? std::string{} : it->caller_address;
         return info;
--- a/src/fleet/manifest_follower.cpp
+++ b/src/fleet/manifest_follower.cpp
@@ -48,10 +48,10 @@
 manifest_follower::manifest_follower(membership::member_table& members, peer_sender& sender,
                                      key_value_store& store, const clock_source& clock,
                                      manifest_source source, std::function<void()> on_change)
-    : members_{members}, source_{std::move(source)},
-      on_change_{std::move(on_change)}, state_{source_.parse},
-      distributor_{make_config(members.self(), source_), callbacks(sender, store), store, clock,
-                   stable_hash(members.self().id)}
+    : members_{members}, source_{std::move(source)}, on_change_{std::move(on_change)},
+      state_{source_.parse}, distributor_{make_config(members.self(), source_),
+                                          callbacks(sender, store), store, clock,
+                                          stable_hash(members.self().id)}
 {
 }
 
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -14,9 +14,8 @@
 node::node(boost::asio::io_context& io, const clock_source& clock, key_value_store& store,
            const node_settings& settings, node_callbacks callbacks)
     : clock_{clock}, may_suspects_own_pools_{settings.may_suspects_own_pools},
-      may_own_alone_from_{clock.now() + settings.lone_start},
-      callbacks_{std::move(callbacks)}, members{settings.self, settings.membership,
-                                                stable_hash(settings.self.id), clock.now()},
+      may_own_alone_from_{clock.now() + settings.lone_start}, callbacks_{std::move(callbacks)},
+      members{settings.self, settings.membership, stable_hash(settings.self.id), clock.now()},
       transport{io, clock, settings.peer,
                 [this](const std::string& id) { return peer_address_of(id); },
                 [this](const std::string& from, const wire::envelope& message) {
@@ -39,9 +38,8 @@
                     }
                 }}
 {
-    router.set_local_handler([this](const std::string& from, const wire::envelope& message) {
-        receive(from, message);
-    });
+    router.set_local_handler(
+        [this](const std::string& from, const wire::envelope& message) { receive(from, message); });
 }
 
 std::string node::peer_address_of(const std::string& id) const
--- a/src/fleet/replica_registry.cpp
+++ b/src/fleet/replica_registry.cpp
@@ -16,11 +16,9 @@
 
 void log_change(const listed_instance& it, std::string_view state)
 {
-    log_event("fleet", log_level::info, "replica-changed",
-              {{"backend", it.id},
-               {"service", it.service},
-               {"address", it.address},
-               {"state", state}});
+    log_event(
+        "fleet", log_level::info, "replica-changed",
+        {{"backend", it.id}, {"service", it.service}, {"address", it.address}, {"state", state}});
 }
 
 bool take(replica_registry& registry, const listed_instance& server)
--- a/src/gateway/call_protocol.h
+++ b/src/gateway/call_protocol.h
@@ -15,7 +15,8 @@
     /// How long callers of a stream wait for its first event, and for each further one.
     std::chrono::milliseconds (*stream_patience)(const route_policy& route) = nullptr;
     /// Response that the system makes itself, with no server involved.
-    http_response (*refuse)(const std::string& attempt_id, int status, const refusal& why) = nullptr;
+    http_response (*refuse)(const std::string& attempt_id, int status,
+                            const refusal& why) = nullptr;
 };
 
 } // namespace almondline::gateway
--- a/src/gateway/credit_wait.cpp
+++ b/src/gateway/credit_wait.cpp
@@ -83,8 +83,8 @@
     };
     if (!asker.request_credit(pool, std::move(what), handler)) {
         granting::credit_result refused;
-        refused.why = {verdict::not_run, "duplicate-request",
-                       "a request of this id is in progress", std::chrono::milliseconds{500}};
+        refused.why = {verdict::not_run, "duplicate-request", "a request of this id is in progress",
+                       std::chrono::milliseconds{500}};
         co_return refused;
     }
     wait_guard guard{asker, request_id, state};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -123,13 +123,14 @@
 
 gateway::gateway(asio::io_context& io, const clock_source& clock, const gateway_settings& settings,
                  const membership::member& self, gateway_parts parts)
-    : io_{io}, clock_{clock}, settings_{settings}, parts_{std::move(parts)}, connections_{clock, {}},
-      started_{clock.now()}, retries_{settings.retries, {}}, node_{io, clock, parts_.store,
-                                            make_node_settings(settings, self, parts_.manifests),
-                                            {[this] { on_manifest(); }, [] {},
-                                             [](const std::string&, const wire::envelope&) {
-                                                 return false;
-                                             }}},
+    : io_{io}, clock_{clock}, settings_{settings}, parts_{std::move(parts)},
+      connections_{clock, {}}, started_{clock.now()}, retries_{settings.retries, {}},
+      node_{io,
+            clock,
+            parts_.store,
+            make_node_settings(settings, self, parts_.manifests),
+            {[this] { on_manifest(); }, [] {},
+             [](const std::string&, const wire::envelope&) { return false; }}},
       registration_{make_registration(parts_), parts_.store, clock},
       context_{clock,
                parts_.protocol,
@@ -200,7 +201,9 @@
 
 bool gateway::is_ready() const
 {
-    return stop_began_ == steady_time{} && routes_ != nullptr && are_servers_known_;
+    // Without an owner of the pools requests would wait for one.
+    const bool has_owner = !node_.owned.owner_of({}).instance_id.empty();
+    return stop_began_ == steady_time{} && routes_ != nullptr && are_servers_known_ && has_owner;
 }
 
 milliseconds gateway::since_stop() const
@@ -251,6 +254,7 @@
     const auto now = clock_.now();
     node_.tick(now);
     registration_.tick(now);
+    flush_log();
 }
 
 void gateway::poll_servers()
@@ -304,7 +308,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            log_event("gateway", log_level::info, "settings-reread", {});
+            reread_settings();
         }
         else if (stop_began_ == steady_time{}) {
             begin_stop();
@@ -313,6 +317,20 @@
     });
 }
 
+/// Only the log level can change while the process runs.
+void gateway::reread_settings()
+{
+    const auto next = parts_.read_settings();
+    log_level level{};
+    if (!next || !parse_log_level(next->log_level, level)) {
+        log_event("gateway", log_level::error, "settings-not-reread",
+                  {{"reason", "the file is not valid; the settings before stay"}});
+        return;
+    }
+    set_log_level("*", level);
+    log_event("gateway", log_level::info, "settings-reread", {{"log_level", next->log_level}});
+}
+
 void gateway::begin_stop()
 {
     stop_began_ = clock_.now();
@@ -337,6 +355,7 @@
 {
     log_event("gateway", log_level::info, "stopped",
               {{"interrupted", front_.requests_in_progress()}});
+    flush_log();
     io_.stop();
 }
 
@@ -350,6 +369,7 @@
     set("almondline_requests_in_progress", static_cast<double>(front_.requests_in_progress()));
     set("almondline_backend_connections_idle", static_cast<double>(connections_.size()));
     set("almondline_backend_connections_reused_total", static_cast<double>(connections_.reused()));
+    set("almondline_log_lines_dropped_total", static_cast<double>(dropped_log_lines()));
     set("almondline_pools_owned", static_cast<double>(node_.owned.granters().size()));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
     fleet::manifest_source manifests;
     std::string member_key;    ///< key of this instance's own record in the store
     std::string member_record; ///< and its content
+    /// Reads the settings file again; nothing if it is not valid.
+    std::function<std::optional<gateway_settings>()> read_settings;
     /// Answer the platform's readiness check and callers that ask for addresses.
     std::function<http_response(const http_request&, bool is_ready)> answer_health;
     std::function<http_response(const http_request&, const std::vector<membership::member>& members,
@@ -41,8 +44,8 @@
 class gateway {
 public:
     /// Binds all addresses at once. Throws boost::system::system_error if one can't be bound.
-    gateway(boost::asio::io_context& io, const clock_source& clock, const gateway_settings& settings,
-            const membership::member& self, gateway_parts parts);
+    gateway(boost::asio::io_context& io, const clock_source& clock,
+            const gateway_settings& settings, const membership::member& self, gateway_parts parts);
 
     /// Serves until the process is told to stop and the requests in progress are done.
     void start();
@@ -53,7 +56,7 @@
     void poll_servers();
     void poll_members();
     void on_manifest();
-    void on_signal();
+    void reread_settings();
     void wait_for_signal();
     void begin_stop();
     void check_stopped();
--- a/src/gateway/internal/forwarding_headers.cpp
+++ b/src/gateway/internal/forwarding_headers.cpp
@@ -9,10 +9,17 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> connection_headers{
-    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
-    "TE",         "Transfer-Encoding", "Trailer",          "Upgrade",
-    "Expect",     "Content-Length",    "Proxy-Authorization"};
+constexpr std::array<std::string_view, 11> connection_headers{"Connection",
+                                                              "Keep-Alive",
+                                                              "Proxy-Connection",
+                                                              "Proxy-Authenticate",
+                                                              "TE",
+                                                              "Transfer-Encoding",
+                                                              "Trailer",
+                                                              "Upgrade",
+                                                              "Expect",
+                                                              "Content-Length",
+                                                              "Proxy-Authorization"};
 
 constexpr std::array promises_of_not_run{408, 421, 429, 503};
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -40,6 +40,11 @@
     return find_header(response.headers, "Content-Type").starts_with("text/event-stream");
 }
 
+std::int64_t whole(double amount)
+{
+    return static_cast<std::int64_t>(amount);
+}
+
 int status_of(const refusal& why)
 {
     return why.code == granting::code_allowance ? 429 : 503;
@@ -105,9 +110,8 @@
     }
     note_request(context_.retries, service_, started_);
     asio::steady_timer timer{co_await asio::this_coro::executor, deadline_};
-    const auto first =
-        co_await (serve() || exchange_.wait_closed() ||
-                  timer.async_wait(asio::as_tuple(asio::use_awaitable)));
+    const auto first = co_await (serve() || exchange_.wait_closed() ||
+                                 timer.async_wait(asio::as_tuple(asio::use_awaitable)));
     if (first.index() == 1) {
         stop(stop_cause::caller_left);
     }
@@ -273,15 +277,16 @@
     response_ = {};
     events_before_ = events_.count();
     cause_.clear();
+    const auto size = call_.size.value_or(call_size{});
     context_.decisions.add(call_.attempt_id, log_level::info, "dispatch",
                            {{"request", call_.attempt_id},
                             {"route", route_->name},
                             {"backend", credit_.backend_id},
                             {"credit", credit_.credit_id},
                             {"manifest", routes_->content->version},
-                            {"prompt_tokens", call_.size ? call_.size->prompt_tokens : 0},
-                            {"expected_tokens", call_.expected_output_tokens.value_or(0)},
-                            {"max_tokens", call_.size ? call_.size->max_output_tokens : 0},
+                            {"prompt_tokens", whole(size.prompt_tokens)},
+                            {"expected_tokens", whole(call_.expected_output_tokens.value_or(0))},
+                            {"max_tokens", whole(size.max_output_tokens)},
                             {"waited_ms", since(started_, dispatched_).count()},
                             {"left_ms", time_left().count()}});
     const bool is_connected = co_await connect();
@@ -677,8 +682,7 @@
 {
     const auto now = context_.clock.now();
     const auto name = route_ == nullptr ? std::string{} : route_->name;
-    context_.metrics.add("almondline_requests_total",
-                         {{"service", service_}, {"code", code}});
+    context_.metrics.add("almondline_requests_total", {{"service", service_}, {"code", code}});
     context_.metrics.observe("almondline_request_seconds", {{"service", service_}}, now - started_);
     context_.decisions.add(call_.attempt_id, log_level::info, "answer",
                            {{"request", call_.attempt_id},
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -77,10 +77,10 @@
     backend::event_splitter events_;
     attempt_end end_ = attempt_end::stopped;
     std::string cause_;
-    refusal refusal_;          ///< of the granter
-    bool is_refused_ = false;  ///< no credit was granted
-    bool is_sent_ = false;     ///< a byte went to the server of this attempt
-    bool is_written_ = false;  ///< the whole request went to the server of this attempt
+    refusal refusal_;         ///< of the granter
+    bool is_refused_ = false; ///< no credit was granted
+    bool is_sent_ = false;    ///< a byte went to the server of this attempt
+    bool is_written_ = false; ///< the whole request went to the server of this attempt
     bool may_have_run_ = false;
     bool has_started_ = false; ///< the caller has part of the response
     int servers_reached_ = 0;
--- a/src/granting/granter.h
+++ b/src/granting/granter.h
@@ -24,9 +24,10 @@
 /// Returns the failure domain of an instance, or an empty text if it is not known.
 using failure_domain_lookup = std::function<std::string(const std::string& instance_id)>;
 
-/// Grants the dispatch slots of one pool slice, within the accounts' allowances if it has a book. Created by the entry instance that owns the slice
-/// and destroyed when it no longer does. Losing one loses only credits: the holders ask its
-/// successor again and report what they have in progress.
+/// Grants the dispatch slots of one pool slice, within the accounts' allowances if it has a book.
+/// Created by the entry instance that owns the slice and destroyed when it no longer does. Losing
+/// one loses only credits: the holders ask its successor again and report what they have in
+/// progress.
 ///
 /// Runs on the control thread. The sender may deliver to this instance directly, and its handlers
 /// may call back into handle().
--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -26,8 +26,9 @@
                            const clock_source& time, peer_sender& sender, decision_log& decisions,
                            failure_domain_lookup lookup, scheduling::allowance_book* allowances)
     : settings{std::move(own_settings)}, queue{scheduling::make_queue(std::move(config))},
-      credits{settings.late_confirmation}, clock{time}, sender_{sender}, decisions_{decisions},
-      lookup_{std::move(lookup)}, allowances_{allowances}, credit_prefix_{random_id().substr(0, credit_prefix_length)},
+      credits{settings.late_confirmation}, clock{time}, sender_{sender},
+      decisions_{decisions}, lookup_{std::move(lookup)}, allowances_{allowances},
+      credit_prefix_{random_id().substr(0, credit_prefix_length)},
       grants_from_{time.now() + settings.takeover_delay}
 {
     table.config = settings.routing;
--- a/src/granting/internal/granter_core.h
+++ b/src/granting/internal/granter_core.h
@@ -89,7 +89,7 @@
     peer_sender& sender_;
     decision_log& decisions_;
     failure_domain_lookup lookup_;
-    scheduling::allowance_book* allowances_; ///< null: accounts have no limits
+    scheduling::allowance_book* allowances_;                    ///< null: accounts have no limits
     std::unordered_map<std::string, allowance_charge> charged_; ///< by request id
     std::string credit_prefix_; ///< random: credits of two granters must differ
     std::uint64_t next_credit_ = 1;
--- a/src/granting/pools.cpp
+++ b/src/granting/pools.cpp
@@ -74,9 +74,8 @@
         allowances_.buckets.clear();
         scheduling::reconfigure(allowances_, manifest_->accounts, clock_.now());
     }
-    auto made = std::make_unique<granter>(
-        settings, make_config(service), clock_, sender_, decisions_,
-        lookup_, &allowances_);
+    auto made = std::make_unique<granter>(settings, make_config(service), clock_, sender_,
+                                          decisions_, lookup_, &allowances_);
     update_replicas(*made, service);
     granters_.emplace(service.name, std::move(made));
     log_event("granting", log_level::info, "pool-owned", {{"pool", service.name}});
--- a/src/granting/pools.h
+++ b/src/granting/pools.h
@@ -45,10 +45,7 @@
     pool_granter owner_of(const std::string& pool) const;
     /// Engines of the pools that this instance owns.
     std::vector<listed_instance> owned_engines() const;
-    const std::map<std::string, std::unique_ptr<granter>>& granters() const
-    {
-        return granters_;
-    }
+    const std::map<std::string, std::unique_ptr<granter>>& granters() const { return granters_; }
 
 private:
     void create(const service_policy& service);
--- a/src/manifest/types/manifest.h
+++ b/src/manifest/types/manifest.h
@@ -38,8 +38,8 @@
     int urgency = 0;
     /// Tokens per second that it may use, over all instances. 0: no limit.
     double allowance_rate = 0;
-    double allowance_burst = 0;     ///< tokens saved up while it uses less
-    double allowance_per_call = 1;  ///< tokens counted for a request that states no size
+    double allowance_burst = 0;    ///< tokens saved up while it uses less
+    double allowance_per_call = 1; ///< tokens counted for a request that states no size
     /// False: each request counts as allowance_per_call, whatever its size.
     bool is_allowance_by_size = true;
 };
@@ -107,7 +107,7 @@
     std::chrono::milliseconds target_latency{1'000}; ///< goal for the answer or the first event
     std::chrono::milliseconds target_gap{1'000};     ///< goal for the pause between two events
     int urgency = 0;                                 ///< 0 the most urgent
-    int max_attempts = 1; ///< backend servers that may get one request
+    int max_attempts = 1;                            ///< backend servers that may get one request
     std::vector<weighted_service> services;
 };
 
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -95,8 +95,7 @@
     const double others = others_in_flight(table, of, now) / of.spec.max_in_flight;
     result.first_token = prefill_wait(of, now) + prefill;
     const double decode = decode_time(table, of, request.output_tokens, share + others);
-    result.score = late_seconds(request, result.first_token) +
-                   table.config.decode_weight * decode +
+    result.score = late_seconds(request, result.first_token) + table.config.decode_weight * decode +
                    table.config.interference_weight * prefill * of.in_flight +
                    table.config.failure_penalty * of.failure_rate +
                    table.config.balance_weight * share;
--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -185,9 +185,9 @@
     }
 }
 
-/// Releases a failed request. Returns false if its failure says nothing new: requests in flight when
-/// a server breaks fail together. That is one failure: counted one by one, a cut of 1.5 s kept a
-/// server with 8 requests from being probed for 30 s.
+/// Releases a failed request. Returns false if its failure says nothing new: requests in flight
+/// when a server breaks fail together. That is one failure: counted one by one, a cut of 1.5 s kept
+/// a server with 8 requests from being probed for 30 s.
 bool count_failure(replica& of, const std::string& request_id, steady_time now)
 {
     dispatched_work work;
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -87,9 +87,9 @@
     std::deque<in_flight_sample> history;
 
     replica_health health = replica_health::healthy;
-    int failures = 0; ///< in a row
+    int failures = 0;         ///< in a row
     bool is_reachable = true; ///< the last attempt to connect succeeded
-    double failure_rate = 0; ///< of the latest requests, 0 to 1
+    double failure_rate = 0;  ///< of the latest requests, 0 to 1
     steady_time next_probe{};
     int probes_in_flight = 0;
 
--- a/src/store/instance_list.h
+++ b/src/store/instance_list.h
@@ -20,7 +20,7 @@
     std::string failure_domain;
     bool is_leaving = false;
     std::int64_t incarnation = 0; ///< start of the process, ms since the epoch; 0: not known
-    int max_in_flight = 0; ///< backend servers: requests at once; 0: as the manifest says
+    int max_in_flight = 0;        ///< backend servers: requests at once; 0: as the manifest says
 };
 
 struct instance_list_result {
--- a/tests/platform/contract_test.py
+++ b/tests/platform/contract_test.py
@@ -1,12 +1,28 @@
 """Contract of the gateway with the users' platform, against stand-ins, on real processes."""
 
+import json
+import signal
 import sys
+import threading
+import time
 import unittest
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from gateway_fleet import GatewayFleet  # noqa: E402
+from gateway_fleet import GatewayFleet, desired_state, route  # noqa: E402
+
+
+REFUSED = [("Almondline-Not-Executed", "1")]
+
+
+def wait_until(condition, seconds=5):
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        time.sleep(0.05)
+    return False
 
 
 class ContractTest(unittest.TestCase):
@@ -18,6 +34,24 @@
     def tearDownClass(cls):
         cls.fleet.__exit__()
 
+    def tearDown(self):
+        for it in self.fleet.replicas.values():
+            it.behaviour = lambda handler: None
+            it.events = 3
+
+    def on_first_arrival(self, service, action):
+        """Lets the first replica of a service that gets a request answer it in its own way."""
+        arrivals = []
+
+        def behave(handler):
+            arrivals.append(handler.replica.id)
+            return action(handler) if len(arrivals) == 1 else None
+
+        for name, it in self.fleet.replicas.items():
+            if name.startswith(service):
+                it.behaviour = behave
+        return arrivals
+
     def test_plain_request_reaches_one_replica_and_returns_unchanged(self):
         response = self.fleet.request("/order/1?x=2")
         self.assertEqual(response.status, 200)
@@ -29,6 +63,139 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(response.body.count(b"\n\n"), 3)
 
+    def test_unknown_key_and_route(self):
+        self.assertEqual(self.fleet.request("/order/1", key="other").status, 401)
+        self.assertEqual(self.fleet.request("/nowhere/1").status, 404)
+        self.assertEqual(self.fleet.request("/open/1", key="").status, 200)
+
+    def test_forged_headers_do_not_reach_a_replica(self):
+        forged = {"Almondline-Tenant": "forged", "Almondline-Hold": "forged", "Kv-From": "forged"}
+        self.assertEqual(self.fleet.request("/order/1", headers=forged).status, 200)
+        seen = [fields for name, it in self.fleet.replicas.items() if name.startswith("desk")
+                for _, _, fields in it.requests]
+        self.assertFalse([it for it in seen if "forged" in it.values()])
+        self.assertFalse([it for it in seen if "Authorization" in it])
+        self.assertIn("first", {it.get("Almondline-Tenant") for it in seen})
+
+    def test_idempotent_request_goes_elsewhere_after_a_lost_answer(self):
+        arrivals = self.on_first_arrival("desk", lambda handler: handler.cut())
+        self.assertEqual(self.fleet.request("/look/1", "GET", None).status, 200)
+        self.assertEqual(len(set(arrivals)), 2)
+
+    def test_non_idempotent_request_is_not_repeated_after_a_lost_answer(self):
+        arrivals = self.on_first_arrival("desk", lambda handler: handler.cut())
+        self.assertEqual(self.fleet.request("/order/1").status, 502)
+        self.assertEqual(len(arrivals), 1)
+
+    def test_refusal_of_the_only_attempt_is_passed_on_as_not_run(self):
+        self.on_first_arrival("desk", lambda handler: handler.answer(503, headers=REFUSED) or True)
+        response = self.fleet.request("/order/1")
+        self.assertEqual(response.status, 503)
+        self.assertIn("Retry-After", response.headers)
+
+    def test_failure_that_ran_makes_no_false_promise(self):
+        # 503 promises that the request never ran; this replica does not say so.
+        self.on_first_arrival("desk", lambda handler: handler.answer(503) or True)
+        self.assertEqual(self.fleet.request("/order/1").status, 502)
+
+    def test_response_to_an_earlier_request_is_read_over(self):
+        def answer_twice(handler):
+            handler.wfile.write(b"HTTP/1.1 200 OK\r\nAlmondline-Attempt-Id: earlier\r\n"
+                                b"Almondline-Server-Seal: s\r\nContent-Length: 5\r\n\r\nother")
+
+        self.on_first_arrival("desk", answer_twice)
+        response = self.fleet.request("/order/1")
+        self.assertEqual((response.status, response.body), (200, b"ran hello"))
+
+    def test_stream_resumes_at_another_replica_without_loss_or_repeat(self):
+        def break_off(handler):
+            handler.start_stream()
+            handler.write_chunk(b"id: 1\ndata: piece 1\n\nid: 2\nda")
+            return handler.cut()
+
+        arrivals = self.on_first_arrival("pool", break_off)
+        response = self.fleet.request("/resume-stream/1")
+        self.assertEqual(response.status, 200)
+        ids = [line for line in response.body.split(b"\n") if line.startswith(b"id:")]
+        self.assertEqual(ids, [b"id: 1", b"id: 2", b"id: 3"])
+        self.assertEqual(len(set(arrivals)), 2)
+
+    def test_request_gets_its_final_answer_at_the_time_limit(self):
+        self.on_first_arrival("desk", lambda handler: time.sleep(1.0) or handler.answer(200) or True)
+        begin = time.monotonic()
+        self.assertEqual(self.fleet.request("/order/1", deadline_ms=400).status, 504)
+        self.assertLess(time.monotonic() - begin, 0.9)
+
+    def test_leaving_replica_gets_no_requests(self):
+        self.fleet.add_replica("desk-leaving", "desk")
+        it = self.fleet.replicas["desk-leaving"]
+
+        def is_used():
+            self.fleet.request("/look/1", "GET", None)
+            return bool(it.runs)
+
+        self.assertTrue(wait_until(is_used))
+        self.fleet.announce("desk-leaving", state="draining")
+        time.sleep(2.0)
+        it.runs.clear()
+        for _ in range(30):
+            self.fleet.request("/look/1", "GET", None)
+        self.assertEqual(it.runs, [])
+        self.fleet.store.remove("servers/desk-leaving")
+
+    def test_new_desired_state_is_in_force_within_two_seconds(self):
+        state = desired_state(version=2)
+        state["routes"].append(route("/added/", "desk"))
+        self.fleet.store.put("op/config", json.dumps(state))
+        for n in range(2):
+            self.assertTrue(
+                wait_until(lambda: self.fleet.request("/added/1", gateway=n).status == 200, 2))
+
+    def test_directory_names_all_ready_gateways(self):
+        path = "/almondline/resolve?name=x&region=r&zone=z"
+
+        def names_both():
+            answer = json.loads(self.fleet.gateways[0].call("directory", "GET", path).body)
+            return len(answer["addresses"]) == 2 and 0 < answer["ttl_s"] <= 5
+
+        self.assertTrue(wait_until(names_both))
+
+    def test_metrics_are_served(self):
+        self.fleet.request("/order/1")
+        text = self.fleet.gateways[0].call("metrics", "GET", "/metrics").body.decode()
+        self.assertIn("almondline_requests_total", text)
+
+
+class StopTest(unittest.TestCase):
+    def test_planned_stop_completes_requests_in_progress(self):
+        with GatewayFleet(2) as fleet:
+            fleet.replicas["pool-0"].event_pause = fleet.replicas["pool-1"].event_pause = 0.4
+            answers = []
+            caller = threading.Thread(
+                target=lambda: answers.append(fleet.request("/stream/1", deadline_ms=3000)))
+            caller.start()
+            time.sleep(0.3)
+            stopped = fleet.gateways[0].process
+            stopped.signal(signal.SIGTERM)
+            caller.join()
+            self.assertEqual(answers[0].body.count(b"\n\n"), 3)
+            self.assertEqual(stopped.wait(8), 0)
+
+    def test_requests_are_served_while_the_store_is_away(self):
+        with GatewayFleet(2) as fleet:
+            fleet.store.is_down = True
+            time.sleep(2)
+            for n in range(2):
+                self.assertEqual(fleet.request("/order/1", gateway=n).status, 200)
+
+    def test_another_gateway_takes_over_granting(self):
+        with GatewayFleet(3) as fleet:
+            self.assertTrue(wait_until(lambda: fleet.request("/order/1").status == 200))
+            for n in range(2):
+                fleet.gateways[n].process.kill()
+                self.assertTrue(
+                    wait_until(lambda: fleet.request("/order/1", gateway=2).status == 200, 3))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform_standins/metadata_store.py
+++ b/tests/platform_standins/metadata_store.py
@@ -154,7 +154,10 @@
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(text)))
         self.end_headers()
-        self.wfile.write(text)
+        try:
+            self.wfile.write(text)
+        except OSError:
+            self.close_connection = True  # the client gave the call up
 
     do_GET = do_POST = do_DELETE = handle_call
 
@@ -164,5 +167,6 @@
     handler = type("StoreHandler", (Handler,), {"store": store})
     server = ThreadingHTTPServer(("127.0.0.1", port), handler)
     server.daemon_threads = True
+    server.handle_error = lambda *_: None  # clients that are killed reset their connections
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
--- a/tests/platform_standins/replica.py
+++ b/tests/platform_standins/replica.py
@@ -1,5 +1,6 @@
 """Stand-in for a replica of the users' platform: plain requests and event streams."""
 
+import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -31,6 +32,12 @@
         self.end_headers()
         self.wfile.write(body)
 
+    def cut(self):
+        """Breaks the connection off."""
+        self.connection.shutdown(socket.SHUT_RDWR)
+        self.close_connection = True
+        return True
+
     def write_chunk(self, data):
         self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
         self.wfile.flush()
@@ -75,5 +82,6 @@
     handler = type("ReplicaHandler", (Handler,), {"replica": replica})
     server = ThreadingHTTPServer(("127.0.0.1", port), handler)
     server.daemon_threads = True
+    server.handle_error = lambda *_: None  # tests cut connections on purpose
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
