--- a/src/backend/reports.cpp
+++ b/src/backend/reports.cpp
@@ -22,12 +22,6 @@
 constexpr std::int64_t max_age_ms = std::int64_t{60} * 60 * 1000;
 constexpr double max_tokens = 1e12;
 
-const json::array* find_array(const json::value& object, std::string_view key)
-{
-    const auto* it = object.get_object().if_contains(key);
-    return it == nullptr || !it->is_array() ? nullptr : &it->get_array();
-}
-
 std::uint64_t parse_block(const std::string& text)
 {
     std::uint64_t block = 0;
--- a/src/bench/internal/gossip_policy.cpp
+++ b/src/bench/internal/gossip_policy.cpp
@@ -1,4 +1,5 @@
 #include "bench/internal/policies.h"
+#include "scheduling/types/token_cost.h"
 
 #include <algorithm>
 #include <unordered_map>
@@ -64,7 +65,8 @@
             routing::on_cancel(at.table, id, what.id, sim_.clock());
         }
         const double output = what.end == outcome::finished ? what.output : 0;
-        scheduling::finish(at.queue, what.id, cost_of(what.prompt, output), sim_.clock());
+        scheduling::finish(at.queue, what.id, scheduling::token_cost(what.prompt, output),
+                           sim_.clock());
         dispatch_all(at);
     }
 
--- a/src/bench/internal/granter_policy.cpp
+++ b/src/bench/internal/granter_policy.cpp
@@ -1,4 +1,5 @@
 #include "bench/internal/policies.h"
+#include "scheduling/types/token_cost.h"
 
 #include <unordered_map>
 
@@ -157,11 +158,13 @@
         const std::string id = replica_name(what.replica);
         if (what.end == outcome::finished) {
             routing::on_finish(table_, id, what.id, make_finish_report(what), sim_.clock());
-            scheduling::finish(queue_, what.id, cost_of(what.prompt, what.output), sim_.clock());
+            scheduling::finish(queue_, what.id, scheduling::token_cost(what.prompt, what.output),
+                               sim_.clock());
         }
         else {
             routing::on_cancel(table_, id, what.id, sim_.clock());
-            scheduling::finish(queue_, what.id, cost_of(what.prompt, 0), sim_.clock());
+            scheduling::finish(queue_, what.id, scheduling::token_cost(what.prompt, 0),
+                               sim_.clock());
         }
         requests_.erase(what.id);
         grant_all();
--- a/src/bench/internal/policies.cpp
+++ b/src/bench/internal/policies.cpp
@@ -1,4 +1,5 @@
 #include "bench/internal/policies.h"
+#include "scheduling/types/token_cost.h"
 
 #include <algorithm>
 
@@ -60,7 +61,7 @@
     made.account = "a" + std::to_string(what.account);
     made.kind = what.kind;
     made.tier = what.tier;
-    made.cost = cost_of(what.prompt, what.estimated_output);
+    made.cost = scheduling::token_cost(what.prompt, what.estimated_output);
     made.prompt_tokens = what.prompt;
     made.output_tokens = what.estimated_output;
     made.arrived = sim.clock();
--- a/src/bench/internal/results.cpp
+++ b/src/bench/internal/results.cpp
@@ -1,4 +1,5 @@
 #include "bench/internal/results.h"
+#include "scheduling/types/token_cost.h"
 
 #include <algorithm>
 #include <cmath>
@@ -28,7 +29,7 @@
     if (in_window(what.arrived)) {
         const auto tier = static_cast<std::size_t>(what.tier);
         offered[tier] += 1;
-        offered_cost[tier] += cost_of(what.prompt, what.output);
+        offered_cost[tier] += scheduling::token_cost(what.prompt, what.output);
     }
 }
 
@@ -40,7 +41,7 @@
         prefilled += what.prefilled;
         wasted += is_good ? what.repeated : what.prefilled;
         finished[tier] += is_good ? 1 : 0;
-        finished_cost[tier] += is_good ? cost_of(what.prompt, what.output) : 0;
+        finished_cost[tier] += is_good ? scheduling::token_cost(what.prompt, what.output) : 0;
     }
     if (in_window(what.arrived) && what.first_token > 0) {
         const double time = what.first_token - what.arrived;
--- a/src/bench/internal/workload.h
+++ b/src/bench/internal/workload.h
@@ -62,12 +62,4 @@
     std::mt19937_64 random_;
 };
 
-/// Cost in token units: one output token takes as much engine time as this many prompt tokens.
-constexpr double output_cost_factor = 8;
-
-inline double cost_of(double prompt, double output)
-{
-    return prompt + output_cost_factor * output;
-}
-
 } // namespace almondline::bench
--- a/src/common/json.cpp
+++ b/src/common/json.cpp
@@ -73,6 +73,22 @@
     return value;
 }
 
+std::optional<boost::json::value> try_parse_object(std::string_view text)
+{
+    boost::system::error_code ec;
+    auto value = boost::json::parse(boost::json::string_view{text.data(), text.size()}, ec);
+    if (ec || !value.is_object()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+const boost::json::array* find_array(const boost::json::value& object, std::string_view key)
+{
+    const auto* it = find_member(object, key);
+    return it == nullptr ? nullptr : it->if_array();
+}
+
 std::string string_or(const boost::json::value& object, std::string_view key,
                       std::string_view fallback)
 {
--- a/src/common/json.h
+++ b/src/common/json.h
@@ -2,9 +2,11 @@
 
 #include "common/types/parse_error.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/value.hpp>
 #include <boost/leaf/result.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +16,12 @@
 /// parse_error names the line of a syntax error.
 boost::leaf::result<boost::json::value> parse_json(std::string_view text);
 
+/// The object that a text is, for callers that need no cause; nothing for any other text.
+std::optional<boost::json::value> try_parse_object(std::string_view text);
+
+/// Array member of an object, nullptr if it is missing or of another type.
+const boost::json::array* find_array(const boost::json::value& object, std::string_view key);
+
 /// String member of an object, or the fallback if it is missing or of another type.
 std::string string_or(const boost::json::value& object, std::string_view key,
                       std::string_view fallback = {});
--- a/src/entry/authentication.cpp
+++ b/src/entry/authentication.cpp
@@ -22,23 +22,14 @@
 std::shared_ptr<const manifest_snapshot> make_snapshot(std::shared_ptr<const manifest> content)
 {
     auto snapshot = std::make_shared<manifest_snapshot>();
-    for (const auto& account : content->accounts) {
-        for (const auto& hash : account.key_hashes) {
-            snapshot->accounts_by_key_hash.emplace(hash, &account);
-        }
-    }
+    snapshot->accounts_by_key_hash = index_account_keys(*content);
     snapshot->content = std::move(content);
     return snapshot;
 }
 
 const account_policy* authenticate(const manifest_snapshot& snapshot, const http_request& request)
 {
-    const auto hash = hash_of_bearer_key(request);
-    const auto it = snapshot.accounts_by_key_hash.find(hash);
-    if (it == snapshot.accounts_by_key_hash.end() || !equal_constant_time(it->first, hash)) {
-        return nullptr;
-    }
-    return it->second;
+    return find_account_of_key(snapshot.accounts_by_key_hash, hash_of_bearer_key(request));
 }
 
 bool has_bearer_key(const http_request& request, const std::string& key_hash)
--- a/src/entry/authentication.h
+++ b/src/entry/authentication.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "http/types/message.h"
-#include "manifest/types/manifest.h"
+#include "manifest/account_keys.h"
 
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 namespace almondline::entry {
 
@@ -13,7 +12,7 @@
 struct manifest_snapshot {
     std::shared_ptr<const manifest> content;
     /// Client accounts by the SHA-256 of their keys. Points into content.
-    std::unordered_map<std::string, const account_policy*> accounts_by_key_hash;
+    account_keys accounts_by_key_hash;
 };
 
 std::shared_ptr<const manifest_snapshot> make_snapshot(std::shared_ptr<const manifest> content);
--- a/src/entry/internal/control_state.cpp
+++ b/src/entry/internal/control_state.cpp
@@ -3,16 +3,12 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "entry/internal/status_report.h"
+#include "fleet/periodic.h"
 #include "idempotency/wire_format.h"
 #include "membership/wire_format.h"
 #include "peer/wire.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace almondline::entry {
 
@@ -146,16 +142,13 @@
 
 void control_state::every(milliseconds interval, std::function<void()> action)
 {
-    const auto run = [](std::shared_ptr<control_state> self, milliseconds wait,
-                        std::function<void()> act) -> asio::awaitable<void> {
-        asio::steady_timer timer{self->io};
-        while (!self->is_stopped) {
-            act();
-            timer.expires_after(wait);
-            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    fleet::run_periodically(io, interval, [self = shared_from_this(), action = std::move(action)] {
+        if (self->is_stopped) {
+            return false;
         }
-    };
-    asio::co_spawn(io, run(shared_from_this(), interval, std::move(action)), asio::detached);
+        action();
+        return true;
+    });
 }
 
 void control_state::start()
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,15 +1,14 @@
 #include "common/log.h"
+#include "common/program_options.h"
 #include "entry/caller_api.h"
 #include "entry/control_plane.h"
 #include "entry/entry_settings.h"
 #include "entry/keyed_runner.h"
 #include "entry/operator_api.h"
 
-#include <CLI/CLI.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <iostream>
 #include <optional>
 #include <thread>
@@ -20,27 +19,8 @@
 
 namespace {
 
-constexpr int exit_settings = 2;
-constexpr int exit_bind = 3;
 constexpr std::chrono::milliseconds drain_check_interval{20};
 
-std::optional<entry_settings> read_settings(const std::string& path)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<std::optional<entry_settings>> {
-            BOOST_LEAF_AUTO(settings, load_entry_settings(path));
-            return std::optional<entry_settings>{settings};
-        },
-        [](const parse_error& e) -> std::optional<entry_settings> {
-            std::cerr << to_string(e) << '\n';
-            return std::nullopt;
-        },
-        []() -> std::optional<entry_settings> {
-            std::cerr << "the settings can't be read\n";
-            return std::nullopt;
-        });
-}
-
 /// The process: a control thread, traffic threads, the HTTP server and the stop.
 class entry_process {
 public:
@@ -206,24 +186,15 @@
 
 int main(int argc, char** argv)
 {
-    CLI::App app{"Entry instance of the almondline request scheduler"};
-    std::string path;
-    bool is_check = false;
-    bool is_description = false;
-    app.add_option("--config", path, "settings file (INI)");
-    app.add_flag("--check-config", is_check, "check the settings and exit");
-    app.add_flag("--describe-settings", is_description, "print the known settings and exit");
-    app.set_version_flag("--version", std::string{ALMONDLINE_VERSION});
-    CLI11_PARSE(app, argc, argv);
-    if (is_description) {
-        std::cout << describe_settings(entry_setting_specs());
-        return 0;
-    }
-    if (path.empty()) {
-        std::cerr << "--config is required\n";
-        return exit_settings;
+    program_options options;
+    const auto end =
+        parse_program_options(argc, argv, "Entry instance of the almondline request scheduler",
+                              entry_setting_specs(), options);
+    if (end) {
+        return *end;
     }
-    auto settings = read_settings(path);
+    const auto& path = options.config_path;
+    auto settings = load_or_report(load_entry_settings, path);
     if (!settings) {
         return exit_settings;
     }
@@ -233,7 +204,7 @@
         std::cerr << path << ": " << fault << '\n';
         return exit_settings;
     }
-    if (is_check) {
+    if (options.is_check) {
         std::cout << path << ": ok\n";
         return 0;
     }
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -4,6 +4,7 @@
 #include "entry/internal/answer_sink.h"
 #include "entry/internal/credit_wait.h"
 #include "entry/refusals.h"
+#include "scheduling/types/token_cost.h"
 
 #include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -17,16 +18,8 @@
 
 namespace {
 
-/// Cost of an output token in units of a prompt token: decoding takes one pass a token, prefill
-/// handles many tokens in a pass.
-constexpr double output_cost_factor = 8;
 constexpr milliseconds retry_after_backend_failure{1'000};
 
-double cost_of(double prompt_tokens, double output_tokens)
-{
-    return prompt_tokens + output_cost_factor * output_tokens;
-}
-
 /// Least time that any class of engines of the manifest needs.
 milliseconds least_service_time(const manifest& m, const caller_request& request)
 {
@@ -115,7 +108,7 @@
     what.tier = request_.tier;
     what.prompt_tokens = request_.prompt_tokens;
     what.output_tokens = request_.output_tokens;
-    what.cost = cost_of(request_.prompt_tokens, request_.output_tokens);
+    what.cost = scheduling::token_cost(request_.prompt_tokens, request_.output_tokens);
     what.arrived = context_.clock.now();
     what.deadline = deadline_;
     const auto current = context_.manifests.snapshot();
@@ -209,10 +202,10 @@
     report.outcome = outcome_of(outcome_);
     report.prompt_tokens = outcome_.usage.prompt_tokens;
     report.output_tokens = outcome_.usage.completion_tokens;
-    report.actual_cost = cost_of(report.prompt_tokens, report.output_tokens);
+    report.actual_cost = scheduling::token_cost(report.prompt_tokens, report.output_tokens);
     if (request_.type == service_type::plain &&
         report.outcome == granting::release_outcome::finished) {
-        report.actual_cost = cost_of(request_.prompt_tokens, request_.output_tokens);
+        report.actual_cost = scheduling::token_cost(request_.prompt_tokens, request_.output_tokens);
     }
     report.duration = std::chrono::duration_cast<milliseconds>(now - dispatched_);
     if (outcome_.first_event != steady_time{}) {
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -113,7 +113,7 @@
             out.push_back(it);
         }
     }
-    const bool is_settled = !out.empty() || clock_.now() >= may_own_alone_from_;
+    const bool is_settled = !out.empty() || may_own_alone_;
     if (!is_draining_ && is_settled) {
         out.push_back(members.self());
     }
@@ -160,13 +160,14 @@
             owned.forget_holder(it.id);
         }
     }
-    const bool may_own_alone = clock_.now() >= may_own_alone_from_;
-    keys.emplace_back(members.self().id, may_own_alone ? 1 : 0, members.self().status);
+    keys.emplace_back(members.self().id, members.self().incarnation, members.self().status);
     std::sort(keys.begin(), keys.end());
-    if (keys == known_members_) {
+    const bool may_own_alone = clock_.now() >= may_own_alone_from_;
+    if (keys == known_members_ && may_own_alone == may_own_alone_) {
         return;
     }
     known_members_ = std::move(keys);
+    may_own_alone_ = may_own_alone;
     owned.update_ownership(granter_candidates());
     owned.set_allowance_share(allowance_share());
     asker.check_owners();
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -78,6 +78,7 @@
     const clock_source& clock_;
     bool may_suspects_own_pools_;
     steady_time may_own_alone_from_;
+    bool may_own_alone_ = false; ///< at the last check of the members
     node_callbacks callbacks_;
     std::vector<member_key> known_members_;
     bool is_draining_ = false;
--- /dev/null
+++ b/src/fleet/periodic.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+
+namespace almondline::fleet {
+
+/// Runs the action soon and then after each interval, until it returns false.
+void run_periodically(boost::asio::io_context& io, std::chrono::milliseconds interval,
+                      std::function<bool()> action);
+
+} // namespace almondline::fleet
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,14 +1,11 @@
 #include "gateway/gateway.h"
 
 #include "common/log.h"
+#include "fleet/periodic.h"
+#include "gateway/internal/durations.h"
 #include "gateway/request_flow.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 
 namespace almondline::gateway {
@@ -114,11 +111,6 @@
     return out;
 }
 
-milliseconds part_of(milliseconds whole, double part)
-{
-    return milliseconds{static_cast<std::int64_t>(static_cast<double>(whole.count()) * part)};
-}
-
 } // namespace
 
 gateway::gateway(asio::io_context& io, const clock_source& clock, const gateway_settings& settings,
@@ -208,21 +200,15 @@
 
 milliseconds gateway::since_stop() const
 {
-    return std::chrono::duration_cast<milliseconds>(clock_.now() - stop_began_);
+    return since(stop_began_, clock_.now());
 }
 
 void gateway::every(milliseconds interval, std::function<void()> action)
 {
-    const auto run = [](asio::io_context& io, milliseconds wait,
-                        std::function<void()> act) -> asio::awaitable<void> {
-        asio::steady_timer timer{io};
-        while (true) {
-            act();
-            timer.expires_after(wait);
-            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        }
-    };
-    asio::co_spawn(io_, run(io_, interval, std::move(action)), asio::detached);
+    fleet::run_periodically(io_, interval, [action = std::move(action)] {
+        action();
+        return true;
+    });
 }
 
 void gateway::start()
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -1,4 +1,4 @@
-#include "gateway/internal/elapsed.h"
+#include "gateway/internal/durations.h"
 #include "gateway/internal/forwarding_headers.h"
 #include "gateway/request_flow.h"
 
@@ -31,7 +31,6 @@
     dispatched_ = context_.clock.now();
     first_event_ = {};
     response_ = {};
-    events_before_ = events_.count();
     cause_.clear();
     const auto size = call_.size.value_or(call_size{});
     context_.decisions.add(call_.attempt_id, log_level::info, "dispatch",
@@ -240,9 +239,9 @@
             co_return;
         }
         if (cause_.empty() && is_in_limit) {
-            wait = first_event_ == steady_time{}
-                       ? wait
-                       : patience(route_->target_gap, context_.limits.gap_patience);
+            if (first_event_ != steady_time{}) {
+                wait = patience(route_->target_gap, context_.limits.gap_patience);
+            }
             continue;
         }
         end_ = context_.clock.now() - begin >= wait ? attempt_end::silent : attempt_end::broken;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -2,8 +2,9 @@
 
 #include "common/log.h"
 #include "gateway/credit_wait.h"
-#include "gateway/internal/elapsed.h"
+#include "gateway/internal/durations.h"
 #include "gateway/internal/forwarding_headers.h"
+#include "scheduling/types/token_cost.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -21,16 +22,8 @@
 namespace {
 
 constexpr int first_server_error = 500;
-/// Cost of an output token in units of a prompt token: decoding takes one pass a token, prefill
-/// handles many tokens in a pass.
-constexpr double output_cost_factor = 8;
 constexpr double plain_cost = 1;
 
-milliseconds part_of(milliseconds whole, double part)
-{
-    return milliseconds{static_cast<std::int64_t>(static_cast<double>(whole.count()) * part)};
-}
-
 int status_of(const refusal& why)
 {
     return why.code == granting::code_allowance ? 429 : 503;
@@ -154,11 +147,16 @@
 
 milliseconds request_flow::patience(milliseconds target, double factor) const
 {
-    const bool may_repeat = route_->kind == route_kind::idempotent ||
-                            (route_->kind == route_kind::stream && route_->is_resumable);
-    if (!may_repeat || servers_reached_ >= route_->max_attempts) {
+    if (!may_run_again(route_->kind, route_->is_resumable) ||
+        servers_reached_ >= route_->max_attempts) {
         return time_left() + milliseconds{1};
     }
+    return silence_limit(target, factor);
+}
+
+/// How long a server may be silent before it counts as failed.
+milliseconds request_flow::silence_limit(milliseconds target, double factor) const
+{
     return std::max(context_.limits.min_patience, part_of(target, factor));
 }
 
@@ -203,7 +201,7 @@
     if (call_.size) {
         what.prompt_tokens = call_.size->prompt_tokens;
         what.output_tokens = call_.expected_output_tokens.value_or(call_.size->max_output_tokens);
-        what.cost = what.prompt_tokens + output_cost_factor * what.output_tokens;
+        what.cost = scheduling::token_cost(what.prompt_tokens, what.output_tokens);
     }
     what.allowance_cost = allowance_cost();
     return what;
@@ -268,10 +266,10 @@
     report.outcome = outcome_of(end_, is_sent_, response_.status >= first_server_error);
     report.duration = since(dispatched_, now);
     if (call_.size) {
-        const auto events = static_cast<double>(events_.count() - events_before_);
+        const auto events = static_cast<double>(events_.count());
         report.prompt_tokens = call_.size->prompt_tokens;
         report.output_tokens = events * (service == nullptr ? 1 : service->tokens_per_event);
-        report.actual_cost = report.prompt_tokens + output_cost_factor * report.output_tokens;
+        report.actual_cost = scheduling::token_cost(report.prompt_tokens, report.output_tokens);
     }
     if (first_event_ != steady_time{}) {
         report.first_token = since(dispatched_, first_event_);
@@ -339,9 +337,8 @@
     if (!is_sent_ || first_event_ != steady_time{}) {
         return false;
     }
-    const auto limits = context_.limits;
-    const auto wanted = part_of(route_->target_latency, limits.latency_patience);
-    return context_.clock.now() - dispatched_ >= std::max(limits.min_patience, wanted);
+    const auto limit = silence_limit(route_->target_latency, context_.limits.latency_patience);
+    return context_.clock.now() - dispatched_ >= limit;
 }
 
 asio::awaitable<void> request_flow::finish()
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -57,6 +57,7 @@
     steady_time wait_limit() const;
     std::chrono::milliseconds time_left() const;
     std::chrono::milliseconds patience(std::chrono::milliseconds target, double factor) const;
+    std::chrono::milliseconds silence_limit(std::chrono::milliseconds target, double factor) const;
     std::string server_key() const { return credit_.backend_id + "@" + credit_.backend_address; }
 
     gateway_context& context_;
@@ -73,8 +74,8 @@
     bool has_credit_ = false;
     std::vector<std::string> excluded_;
     std::optional<http_connection> connection_;
-    http_response response_; ///< header, and the body unless it is a stream
-    backend::event_splitter events_;
+    http_response response_;         ///< header, and the body unless it is a stream
+    backend::event_splitter events_; ///< of this attempt, after those passed on before
     attempt_end end_ = attempt_end::stopped;
     std::string cause_;
     refusal refusal_;         ///< of the granter
@@ -87,7 +88,6 @@
     int unreachable_ = 0;
     steady_time dispatched_{};
     steady_time first_event_{};
-    std::size_t events_before_ = 0; ///< of this attempt
     stop_cause stopped_ = stop_cause::none;
 };
 
--- a/src/gateway/retry_policy.cpp
+++ b/src/gateway/retry_policy.cpp
@@ -4,16 +4,10 @@
 
 namespace {
 
-bool may_run_again(const attempt_facts& facts)
-{
-    return facts.kind == route_kind::idempotent ||
-           (facts.kind == route_kind::stream && facts.is_resumable);
-}
-
 next_step after_loss(const attempt_facts& facts)
 {
-    const bool may_repeat =
-        may_run_again(facts) && facts.has_time && facts.servers_reached < facts.max_attempts;
+    const bool may_repeat = may_run_again(facts.kind, facts.is_resumable) && facts.has_time &&
+                            facts.servers_reached < facts.max_attempts;
     if (!facts.has_started) {
         return may_repeat ? next_step::try_elsewhere : next_step::answer;
     }
@@ -22,6 +16,11 @@
 
 } // namespace
 
+bool may_run_again(route_kind kind, bool is_resumable)
+{
+    return kind == route_kind::idempotent || (kind == route_kind::stream && is_resumable);
+}
+
 next_step decide_next(const attempt_facts& facts)
 {
     const bool may_reach_another = facts.has_time && facts.servers_reached < facts.max_attempts;
--- a/src/gateway/retry_policy.h
+++ b/src/gateway/retry_policy.h
@@ -42,6 +42,9 @@
 /// Servers that could not be reached are passed over, up to this number: nothing was sent to them.
 constexpr int max_unreachable_servers = 6;
 
+/// True if a request of a route may run more than once.
+bool may_run_again(route_kind kind, bool is_resumable);
+
 next_step decide_next(const attempt_facts& facts);
 
 /// True if the step sends the request once more to a server, and so needs the retry budget.
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -28,11 +28,7 @@
             return a->prefix.size() > b->prefix.size();
         });
     }
-    for (const auto& account : content->accounts) {
-        for (const auto& hash : account.key_hashes) {
-            table->accounts_by_key_hash.emplace(hash, &account);
-        }
-    }
+    table->accounts_by_key_hash = index_account_keys(*content);
     table->content = std::move(content);
     return table;
 }
@@ -54,8 +50,7 @@
     if (key.empty()) {
         return nullptr;
     }
-    const auto it = table.accounts_by_key_hash.find(sha256_hex(key));
-    return it == table.accounts_by_key_hash.end() ? nullptr : it->second;
+    return find_account_of_key(table.accounts_by_key_hash, sha256_hex(key));
 }
 
 std::vector<tier_policy> make_tiers(const manifest& m)
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "manifest/types/manifest.h"
+#include "manifest/account_keys.h"
 
 #include <memory>
 #include <string>
@@ -15,7 +15,7 @@
     std::shared_ptr<const manifest> content;
     /// Routes by host, the longest prefix first. Points into content.
     std::unordered_map<std::string, std::vector<const route_policy*>> routes;
-    std::unordered_map<std::string, const account_policy*> accounts_by_key_hash;
+    account_keys accounts_by_key_hash;
 };
 
 std::shared_ptr<const route_table> make_route_table(std::shared_ptr<const manifest> content);
--- a/src/scheduling/types/ask.h
+++ b/src/scheduling/types/ask.h
@@ -17,7 +17,7 @@
     std::string kind;
     std::string model; ///< of a model service, else empty
     int tier = 0;      ///< index in the manifest's tiers, 0 is the most urgent
-    double cost = 1.0; ///< estimated, in token units: prompt tokens + output_cost_factor * output
+    double cost = 1.0; ///< estimated, in token units: token_cost()
     double prompt_tokens = 0;
     double output_tokens = 0;
     double allowance_cost = 0; ///< tokens that count against the account's allowance
