Count prefix hits by the tokens of the parts that are held

Cause: asks named only the shared parts of a prompt, and a block counted as the prompt's tokens divided by the number of blocks. A prompt with one shared part of 60 tokens passed for held as a whole: expected prefill was 0, so long prompts were not kept apart and the learned prefill speed was never corrected.

Asks now carry the tokens up to the end of each part, and the last part too, which a session may repeat.

Ruled out: a lower weight of prefix hits, which would have hidden the wrong size instead of removing it.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -197,6 +197,7 @@
         started_ + part_of(route_->target_latency, 1 - context_.limits.server_part_of_target);
     what.excluded = excluded_;
     what.prefix_blocks = call_.prefix_blocks;
+    what.prefix_tokens = call_.prefix_tokens;
     what.cost = plain_cost;
     if (call_.size) {
         what.prompt_tokens = call_.size->prompt_tokens;
--- a/src/gateway/types/call.h
+++ b/src/gateway/types/call.h
@@ -25,7 +25,8 @@
     std::string model;
     std::optional<call_size> size;
     std::optional<double> expected_output_tokens; ///< the caller's estimate
-    std::vector<std::uint64_t> prefix_blocks;     ///< chained hashes of the prompt's shared parts
+    std::vector<std::uint64_t> prefix_blocks;     ///< chained hashes of the prompt's parts
+    std::vector<std::int32_t> prefix_tokens;      ///< prompt tokens up to the end of each part
     /// What a backend server gets, without the headers that the system sets or that concern one
     /// connection.
     http_request message;
--- a/src/granting/internal/messages.cpp
+++ b/src/granting/internal/messages.cpp
@@ -86,6 +86,9 @@
     ask.deadline_ms = time_until(what.deadline, now).count();
     ask.estimated_service_ms = what.estimated_service.count();
     ask.__set_prefix_blocks({what.prefix_blocks.begin(), what.prefix_blocks.end()});
+    if (!what.prefix_tokens.empty()) {
+        ask.__set_prefix_tokens(what.prefix_tokens);
+    }
     ask.__set_prompt_tokens(what.prompt_tokens);
     ask.__set_output_tokens(what.output_tokens);
     if (what.complete_by != steady_time{}) {
@@ -130,6 +133,9 @@
     what.deadline = now + read_time(message.deadline_ms);
     what.estimated_service = read_time(message.estimated_service_ms);
     what.prefix_blocks.assign(message.prefix_blocks.begin(), message.prefix_blocks.end());
+    if (message.prefix_tokens.size() == message.prefix_blocks.size()) {
+        what.prefix_tokens = message.prefix_tokens;
+    }
     what.excluded = message.excluded;
     what.model = message.model;
     return what;
@@ -223,6 +229,7 @@
     shape.prompt_tokens = what.prompt_tokens;
     shape.output_tokens = what.output_tokens;
     shape.prefix_blocks = what.prefix_blocks;
+    shape.prefix_tokens = what.prefix_tokens;
     shape.excluded = what.excluded;
     shape.model = what.model;
     shape.failure_domain = std::move(failure_domain);
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -76,6 +76,8 @@
   16: optional i64 goal_ms,
   // Time left until the response has to be complete.
   17: optional i64 complete_ms,
+  // Prompt tokens up to the end of each prefix block. Without it, all blocks are of one size.
+  18: optional list<i32> prefix_tokens,
 }
 
 struct grant_message {
--- a/src/routing/internal/cache_knowledge.cpp
+++ b/src/routing/internal/cache_knowledge.cpp
@@ -50,12 +50,17 @@
     }
 }
 
-double tokens_per_block(const replica_table& table, const request_shape& request)
+/// Prompt tokens up to the end of a block.
+double tokens_through(const replica_table& table, const request_shape& request, std::size_t block)
 {
+    if (block < request.prefix_tokens.size()) {
+        return std::max(0, request.prefix_tokens[block]);
+    }
+    const double blocks = static_cast<double>(block + 1);
     if (table.config.block_tokens > 0) {
-        return table.config.block_tokens;
+        return blocks * table.config.block_tokens;
     }
-    return request.prompt_tokens / static_cast<double>(request.prefix_blocks.size());
+    return blocks * request.prompt_tokens / static_cast<double>(request.prefix_blocks.size());
 }
 
 } // namespace
@@ -115,7 +120,6 @@
     if (n == 0) {
         return hits;
     }
-    const double tokens = tokens_per_block(table, request);
     const std::size_t step = (n + lookups_per_choice - 1) / lookups_per_choice;
     std::vector<std::size_t> reached(hits.size(), 0); // lookups in a row that found the replica
     std::size_t lookup = 0;
@@ -124,6 +128,7 @@
         if (found == table.block_holders.end()) {
             break;
         }
+        const double tokens = std::min(request.prompt_tokens, tokens_through(table, request, i));
         for (const block_holder& holder : found->second) {
             if (reached[holder.replica] != lookup) {
                 continue;
@@ -132,8 +137,7 @@
             const bool is_current =
                 holder.generation == table.replicas[holder.replica].cache_generation;
             const double trust = is_current ? 1 : trust_after_gap;
-            hits[holder.replica] =
-                std::min(request.prompt_tokens, static_cast<double>(i + 1) * tokens) * trust;
+            hits[holder.replica] = tokens * trust;
         }
         lookup += 1;
         if (i == n - 1) {
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -190,6 +190,22 @@
     CHECK(elsewhere > 0);
 }
 
+// A short part that many prompts share must not pass for the whole prompt.
+TEST_CASE("a hit counts for the tokens of the parts that are held")
+{
+    fixture f{make_spec("a")};
+    request_shape held = make_request("x", 3000);
+    held.prefix_blocks = {1, 2};
+    held.prefix_tokens = {60, 3000};
+    on_dispatch(f.table, "a", held, f.clock.now());
+    on_finish(f.table, "a", "x", {}, f.clock.now());
+    request_shape next = make_request("y", 2000);
+    next.prefix_blocks = {1, 3};
+    next.prefix_tokens = {60, 2000};
+    CHECK(choose(f.table, next, f.clock.now())->hit_tokens == 60);
+    CHECK(choose(f.table, held, f.clock.now())->hit_tokens == 3000);
+}
+
 TEST_CASE("cache events: repeated ones are skipped, a gap halves the trust, evictions count")
 {
     fixture f{make_spec("a"), make_spec("b")};
--- a/src/scheduling/types/ask.h
+++ b/src/scheduling/types/ask.h
@@ -28,6 +28,8 @@
     steady_time complete_by{}; ///< the response has to be complete by then. Epoch: not known
     std::chrono::milliseconds estimated_service{0}; ///< least time from dispatch to the end
     std::vector<std::uint64_t> prefix_blocks;       ///< chained hashes of the prompt's blocks
+    /// Prompt tokens up to the end of each block. Empty: all blocks are of one size.
+    std::vector<std::int32_t> prefix_tokens;
     std::vector<std::string> excluded;              ///< backend servers not to be offered again
 };
 
