Watch the list of servers, and take it from peers while it can't be read

Each instance now reads the list once, watches it, and applies the changes. Watches end after 2 s, so that an outage in which entries lapse makes one fail; changes are taken at most every 0.5 s. After a failed call the list is read again.

That the list does not change with heartbeats also showed that the test for "only this instance was cut off" in the registry compared with a number of writes that never come. It is removed.

Ruled out: a longer interval between reads, which would find a leaving server later than its bound allows; reads by granters only, since each holder checks once more before it sends.

The contract stand-ins can turn single gateways away; new cases for that and for callers that leave, before the answer and in a stream.

--- a/src/fleet/replica_registry.cpp
+++ b/src/fleet/replica_registry.cpp
@@ -43,17 +43,11 @@
     return true;
 }
 
-/// True if the list changed about as often as its servers' heartbeats since the last read.
-bool was_written_meanwhile(const replica_registry& registry, std::uint64_t revision,
-                           steady_time now)
+void mark_gone(registered_replica& of, steady_time now)
 {
-    const auto present = std::count_if(registry.replicas.begin(), registry.replicas.end(),
-                                       [](const auto& it) { return !it.second.is_gone; });
-    const std::chrono::duration<double> missed = now - registry.last_success;
-    const std::chrono::duration<double> heartbeat = registry.settings.heartbeat;
-    const double expected = static_cast<double>(present) * missed.count() / heartbeat.count();
-    const auto written = revision - std::min(revision, registry.revision);
-    return static_cast<double>(written) > expected / 2;
+    of.is_gone = true;
+    of.since = now;
+    log_change(of.info, "gone");
 }
 
 bool remove_missing(replica_registry& registry, const std::set<std::string>& listed,
@@ -64,10 +58,8 @@
         if (it.is_gone || listed.contains(id)) {
             continue;
         }
-        it.is_gone = true;
-        it.since = now;
+        mark_gone(it, now);
         is_changed = true;
-        log_change(it.info, "gone");
     }
     std::erase_if(registry.replicas, [&](const auto& it) {
         return it.second.is_gone && now - it.second.since > registry.settings.forget_after;
@@ -80,12 +72,6 @@
 bool apply_read(replica_registry& registry, const std::vector<listed_instance>& servers,
                 std::uint64_t revision, steady_time now)
 {
-    const bool was_out = registry.last_success != steady_time{} &&
-                         now - registry.last_success > registry.settings.outage_after;
-    if (was_out && !was_written_meanwhile(registry, revision, now)) {
-        registry.complete_from = now + registry.settings.return_grace;
-    }
-    registry.last_success = now;
     if (revision < registry.revision) {
         return false;
     }
@@ -96,22 +82,42 @@
         listed.insert(it.id);
         is_changed = take(registry, it) || is_changed;
     }
-    if (now >= registry.complete_from) {
+    if (is_complete(registry, now)) {
         is_changed = remove_missing(registry, listed, now) || is_changed;
     }
     return is_changed;
 }
 
-bool note_leaving(replica_registry& registry, const std::string& id, std::int64_t incarnation)
+bool apply_changes(replica_registry& registry, const std::vector<instance_change>& changes,
+                   steady_time now)
 {
-    const auto it = registry.replicas.find(id);
-    if (it == registry.replicas.end() || it->second.info.incarnation != incarnation ||
-        it->second.info.is_leaving) {
-        return false;
+    bool is_changed = false;
+    for (const auto& it : changes) {
+        if (it.revision <= registry.revision) {
+            continue;
+        }
+        registry.revision = it.revision;
+        if (it.instance) {
+            is_changed = take(registry, *it.instance) || is_changed;
+            continue;
+        }
+        const auto known = registry.replicas.find(it.id);
+        if (known != registry.replicas.end() && !known->second.is_gone) {
+            mark_gone(known->second, now);
+            is_changed = true;
+        }
     }
-    it->second.info.is_leaving = true;
-    log_change(it->second.info, "leaving");
-    return true;
+    return is_changed;
+}
+
+void expect_returns(replica_registry& registry, steady_time now)
+{
+    registry.complete_from = now + registry.settings.return_grace;
+}
+
+bool is_complete(const replica_registry& registry, steady_time now)
+{
+    return now >= registry.complete_from;
 }
 
 std::vector<listed_instance> present_replicas(const replica_registry& registry)
--- a/src/fleet/replica_registry.h
+++ b/src/fleet/replica_registry.h
@@ -15,11 +15,6 @@
 struct registry_settings {
     /// Entries that lapsed during an outage of the list are back by this time after its return.
     std::chrono::milliseconds return_grace{2500};
-    /// Reads that fail for this long are an outage.
-    std::chrono::milliseconds outage_after{1500};
-    /// Servers write their entries this often. Tells an outage of the whole list, when nobody could
-    /// write, from one of this instance's reads alone, after which a missing entry has left.
-    std::chrono::milliseconds heartbeat{1200};
     /// What is known of a server that ended is kept for this long, so that a late read does not
     /// bring it back.
     std::chrono::milliseconds forget_after{60'000};
@@ -35,7 +30,6 @@
     registry_settings settings;
     std::map<std::string, registered_replica> replicas; ///< by id
     std::uint64_t revision = 0;                         ///< of the last read that was used
-    steady_time last_success{};
     steady_time complete_from{}; ///< before it, a missing entry may only have lapsed
 };
 
@@ -45,8 +39,16 @@
 bool apply_read(replica_registry& registry, const std::vector<listed_instance>& servers,
                 std::uint64_t revision, steady_time now);
 
-/// Takes word of another instance that a server is leaving. Returns true if it was not known.
-bool note_leaving(replica_registry& registry, const std::string& id, std::int64_t incarnation);
+/// Takes changes of single entries, and returns true if anything changed. Changes older than the
+/// last read or change are ignored.
+bool apply_changes(replica_registry& registry, const std::vector<instance_change>& changes,
+                   steady_time now);
+
+/// The list is back after an outage: entries may be missing for a while though their servers live.
+void expect_returns(replica_registry& registry, steady_time now);
+
+/// False while entries that lapsed may still be missing.
+bool is_complete(const replica_registry& registry, steady_time now);
 
 /// Servers that may get requests or are leaving.
 std::vector<listed_instance> present_replicas(const replica_registry& registry);
--- /dev/null
+++ b/src/fleet/server_list.cpp
@@ -0,0 +1,215 @@
+#include "fleet/server_list.h"
+
+#include "common/log.h"
+#include "peer/wire.h"
+
+#include <algorithm>
+
+namespace almondline::fleet {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A peer that states a larger age is taken to have stated this one.
+constexpr milliseconds max_age{60'000};
+
+wire::listed_server to_wire(const listed_instance& it)
+{
+    wire::listed_server out;
+    out.id = it.id;
+    out.service_name = it.service;
+    out.address = it.address;
+    out.failure_domain = it.failure_domain;
+    out.incarnation = it.incarnation;
+    out.max_in_flight = it.max_in_flight;
+    out.leaving = it.is_leaving;
+    return out;
+}
+
+listed_instance from_wire(const wire::listed_server& it)
+{
+    listed_instance out;
+    out.id = it.id;
+    out.service = it.service_name;
+    out.engine_class = it.service_name;
+    out.address = it.address;
+    out.failure_domain = it.failure_domain;
+    out.incarnation = it.incarnation;
+    out.max_in_flight = it.max_in_flight;
+    out.is_leaving = it.leaving;
+    return out;
+}
+
+} // namespace
+
+server_list::server_list(watched_instance_list& source, const clock_source& clock,
+                         const server_list_settings& settings, server_list_callbacks callbacks)
+    : source_{source}, clock_{clock}, settings_{settings}, callbacks_{std::move(callbacks)}
+{
+}
+
+void server_list::tick(steady_time now)
+{
+    if (!is_calling_ && now >= next_call_) {
+        start_call(now);
+    }
+    if (is_failing_ && now >= next_peer_request_) {
+        ask_peer(now);
+    }
+}
+
+void server_list::start_call(steady_time now)
+{
+    is_calling_ = true;
+    next_call_ = now + retry_interval();
+    if (needs_read_) {
+        source_.fetch([this](const instance_list_result& result) { take_read(result); });
+        return;
+    }
+    source_.watch(watched_to_, settings_.watch_wait,
+                  [this](const instance_watch_result& result) { take_watch(result); });
+}
+
+milliseconds server_list::retry_interval() const
+{
+    return is_known() ? settings_.call_interval : settings_.first_interval;
+}
+
+void server_list::take_read(const instance_list_result& result)
+{
+    const auto now = clock_.now();
+    is_calling_ = false;
+    if (!result.is_ok) {
+        note_failure(result.message);
+        return;
+    }
+    note_success(now);
+    watched_to_ = std::max(watched_to_, result.revision);
+    needs_read_ = !is_complete(registry_, now);
+    if (apply_read(registry_, result.instances, result.revision, now)) {
+        callbacks_.on_change();
+    }
+}
+
+void server_list::take_watch(const instance_watch_result& result)
+{
+    const auto now = clock_.now();
+    is_calling_ = false;
+    if (result.status != watch_status::done) {
+        needs_read_ = true;
+        next_call_ = now;
+    }
+    if (result.status == watch_status::failed) {
+        note_failure(result.message);
+        return;
+    }
+    note_success(now);
+    if (result.status == watch_status::history_gone) {
+        return;
+    }
+    watched_to_ = result.revision;
+    if (!is_complete(registry_, now)) {
+        needs_read_ = true;
+        return;
+    }
+    if (apply_changes(registry_, result.changes, now)) {
+        callbacks_.on_change();
+    }
+}
+
+void server_list::note_success(steady_time now)
+{
+    const bool is_first = !is_known();
+    const bool was_out = is_failing_ && now - last_success_ > settings_.outage_after;
+    // An instance that starts during an outage can't tell which entries have lapsed.
+    if (is_first || was_out) {
+        expect_returns(registry_, now);
+    }
+    last_success_ = now;
+    if (std::exchange(is_failing_, false)) {
+        log_event("fleet", log_level::info, "server-list-regained",
+                  {{"revision", registry_.revision}, {"was_out", was_out}});
+    }
+}
+
+void server_list::note_failure(const std::string& cause)
+{
+    if (!std::exchange(is_failing_, true)) {
+        log_event("fleet", log_level::warning, "server-list-lost",
+                  {{"cause", cause}, {"revision", registry_.revision}});
+    }
+}
+
+void server_list::ask_peer(steady_time now)
+{
+    const auto peers = callbacks_.live_peers();
+    if (peers.empty()) {
+        return;
+    }
+    next_peer_request_ = now + settings_.peer_interval;
+    wire::server_list_request request;
+    request.known_revision = static_cast<std::int64_t>(registry_.revision);
+    wire::envelope message;
+    message.__set_servers_request(request);
+    callbacks_.send(peers[next_peer_++ % peers.size()], message);
+}
+
+bool server_list::handle(const std::string& from, const wire::envelope& message, steady_time now)
+{
+    if (message.__isset.servers_request) {
+        answer_peer(from, message.servers_request.known_revision, now);
+        return true;
+    }
+    if (message.__isset.servers) {
+        take_reply(from, message, now);
+        return true;
+    }
+    return false;
+}
+
+/// Silent unless this instance knows the list to be complete: the other one would drop servers
+/// whose entries have only lapsed.
+void server_list::answer_peer(const std::string& to, std::int64_t known_revision, steady_time now)
+{
+    if (!is_known() || is_failing_ || !is_complete(registry_, now)) {
+        return;
+    }
+    wire::server_list_reply reply;
+    reply.revision = static_cast<std::int64_t>(registry_.revision);
+    reply.age_ms = std::chrono::duration_cast<milliseconds>(now - last_success_).count();
+    reply.unchanged = reply.revision == known_revision;
+    if (!reply.unchanged) {
+        for (const auto& it : present_replicas(registry_)) {
+            reply.servers.push_back(to_wire(it));
+        }
+    }
+    wire::envelope message;
+    message.__set_servers(reply);
+    callbacks_.send(to, message);
+}
+
+void server_list::take_reply(const std::string& from, const wire::envelope& message,
+                             steady_time now)
+{
+    const auto& reply = message.servers;
+    const auto revision = static_cast<std::uint64_t>(std::max<std::int64_t>(0, reply.revision));
+    if (!is_failing_ || revision < registry_.revision) {
+        return;
+    }
+    const milliseconds age{std::clamp<std::int64_t>(reply.age_ms, 0, max_age.count())};
+    last_success_ = std::max(last_success_, now - age);
+    if (reply.unchanged) {
+        return;
+    }
+    std::vector<listed_instance> servers;
+    std::transform(reply.servers.begin(), reply.servers.end(), std::back_inserter(servers),
+                   from_wire);
+    if (apply_read(registry_, servers, revision, now)) {
+        log_event("fleet", log_level::info, "server-list-from-peer",
+                  {{"peer", from}, {"revision", revision}, {"age_ms", age.count()}});
+        callbacks_.on_change();
+    }
+}
+
+} // namespace almondline::fleet
--- /dev/null
+++ b/src/fleet/server_list.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "common/clock.h"
+#include "fleet/replica_registry.h"
+#include "store/instance_list.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace almondline::wire {
+class envelope;
+}
+
+/// Follows the platform's list of backend servers: reads it once, then watches it, and asks other
+/// instances for it while it can't be reached.
+namespace almondline::fleet {
+
+struct server_list_settings {
+    /// Between two calls while the list changes or fails. Changes in between come together.
+    std::chrono::milliseconds call_interval{500};
+    /// Between two calls until the list was read once.
+    std::chrono::milliseconds first_interval{200};
+    /// How long one watch waits. Shorter than the time in which entries lapse, so that an outage in
+    /// which they can lapse makes a watch fail.
+    std::chrono::milliseconds watch_wait{2000};
+    /// Between two requests to other instances while calls fail.
+    std::chrono::milliseconds peer_interval{500};
+    /// Calls that fail for this long are an outage, in which entries may have lapsed.
+    std::chrono::milliseconds outage_after{1500};
+};
+
+struct server_list_callbacks {
+    std::function<void()> on_change;
+    std::function<std::vector<std::string>()> live_peers;
+    std::function<void(const std::string& to, const wire::envelope& message)> send;
+};
+
+/// Runs on the control thread.
+class server_list {
+public:
+    /// The source and the clock must outlive it.
+    server_list(watched_instance_list& source, const clock_source& clock,
+                const server_list_settings& settings, server_list_callbacks callbacks);
+
+    void tick(steady_time now);
+    /// Takes a message of another instance; false if it is of another kind.
+    bool handle(const std::string& from, const wire::envelope& message, steady_time now);
+
+    /// True once the list was read, by this instance or another one.
+    bool is_known() const { return last_success_ != steady_time{}; }
+    const replica_registry& servers() const { return registry_; }
+
+private:
+    void start_call(steady_time now);
+    void take_read(const instance_list_result& result);
+    void take_watch(const instance_watch_result& result);
+    void note_success(steady_time now);
+    void note_failure(const std::string& cause);
+    void ask_peer(steady_time now);
+    void answer_peer(const std::string& to, std::int64_t known_revision, steady_time now);
+    void take_reply(const std::string& from, const wire::envelope& message, steady_time now);
+    std::chrono::milliseconds retry_interval() const;
+
+    watched_instance_list& source_;
+    const clock_source& clock_;
+    server_list_settings settings_;
+    server_list_callbacks callbacks_;
+    replica_registry registry_;
+    std::uint64_t watched_to_ = 0; ///< revision that the next watch starts after
+    bool is_calling_ = false;
+    bool needs_read_ = true; ///< else the list is watched
+    bool is_failing_ = false;
+    steady_time last_success_{}; ///< when the list was last known to be complete
+    steady_time next_call_{};
+    steady_time next_peer_request_{};
+    std::size_t next_peer_ = 0;
+};
+
+} // namespace almondline::fleet
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds metrics_interval{1'000};
 constexpr milliseconds prune_interval{1'000};
 constexpr milliseconds stop_check_interval{50};
-/// Until servers and other instances are known, they are asked for this often.
+/// Until other instances are known, they are asked for this often.
 constexpr milliseconds first_poll_interval{200};
 /// Instances that start together find each other in the list only after all have registered.
 constexpr milliseconds youth{3'000};
@@ -94,6 +94,14 @@
     return out;
 }
 
+fleet::server_list_settings make_server_list_settings(const gateway_settings& settings)
+{
+    fleet::server_list_settings out;
+    out.call_interval = settings.server_interval;
+    out.watch_wait = settings.server_wait;
+    return out;
+}
+
 fleet::registration_settings make_registration(const gateway_parts& parts)
 {
     fleet::registration_settings out;
@@ -116,20 +124,29 @@
 gateway::gateway(asio::io_context& io, const clock_source& clock, const gateway_settings& settings,
                  const membership::member& self, gateway_parts parts)
     : io_{io}, clock_{clock}, settings_{settings}, parts_{std::move(parts)},
+      servers_{parts_.servers,
+               clock,
+               make_server_list_settings(settings),
+               {[this] { on_servers(); }, [this] { return live_peers(); },
+                [this](const std::string& to, const wire::envelope& message) {
+                    node_.transport.send(to, message);
+                }}},
       connections_{clock, {}}, started_{clock.now()}, retries_{settings.retries, {}},
       node_{io,
             clock,
             parts_.store,
             make_node_settings(settings, self, parts_.manifests),
             {[this] { on_manifest(); }, [] {},
-             [](const std::string&, const wire::envelope&) { return false; }}},
+             [this](const std::string& from, const wire::envelope& message) {
+                 return servers_.handle(from, message, clock_.now());
+             }}},
       registration_{make_registration(parts_), parts_.store, clock},
       context_{clock,
                parts_.protocol,
                {},
                node_.asker,
                node_.decisions,
-               replicas_,
+               servers_.servers(),
                connections_,
                retries_,
                metrics_,
@@ -195,7 +212,7 @@
 {
     // Without an owner of the pools requests would wait for one.
     const bool has_owner = !node_.owned.owner_of({}).instance_id.empty();
-    return stop_began_ == steady_time{} && routes_ != nullptr && are_servers_known_ && has_owner;
+    return stop_began_ == steady_time{} && routes_ != nullptr && servers_.is_known() && has_owner;
 }
 
 milliseconds gateway::since_stop() const
@@ -216,12 +233,8 @@
     node_.check_members();
     wait_for_signal();
     every(tick_interval, [this] { tick(); });
-    every(settings_.replica_poll, [this] { poll_servers(); });
     every(settings_.member_poll, [this] { poll_members(); });
     every(first_poll_interval, [this] {
-        if (!are_servers_known_) {
-            poll_servers();
-        }
         const bool is_young = clock_.now() - started_ < youth;
         if (is_young || !node_.has_live_peer()) {
             poll_members();
@@ -239,33 +252,25 @@
 {
     const auto now = clock_.now();
     node_.tick(now);
+    servers_.tick(now);
     registration_.tick(now);
     flush_log();
 }
 
-void gateway::poll_servers()
+void gateway::on_servers()
 {
-    if (std::exchange(is_polling_servers_, true)) {
-        return;
-    }
-    parts_.servers.fetch([this](const instance_list_result& result) {
-        is_polling_servers_ = false;
-        if (!result.is_ok) {
-            if (!std::exchange(is_list_lost_, true)) {
-                log_event("gateway", log_level::warning, "server-list-lost",
-                          {{"cause", result.message}});
-            }
-            return;
-        }
-        if (std::exchange(is_list_lost_, false)) {
-            log_event("gateway", log_level::info, "server-list-regained",
-                      {{"revision", result.revision}});
-        }
-        are_servers_known_ = true;
-        if (fleet::apply_read(replicas_, result.instances, result.revision, clock_.now())) {
-            node_.owned.apply_list(fleet::present_replicas(replicas_));
+    node_.owned.apply_list(fleet::present_replicas(servers_.servers()));
+}
+
+std::vector<std::string> gateway::live_peers() const
+{
+    std::vector<std::string> out;
+    for (const auto& it : node_.members.live_members()) {
+        if (it.id != node_.members.self().id) {
+            out.push_back(it.id);
         }
-    });
+    }
+    return out;
 }
 
 void gateway::poll_members()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,7 +2,7 @@
 
 #include "fleet/node.h"
 #include "fleet/registration.h"
-#include "fleet/replica_registry.h"
+#include "fleet/server_list.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/types/gateway_context.h"
 #include "http/connection_pool.h"
@@ -25,8 +25,8 @@
 /// What the platform brings. All references must outlive the gateway.
 struct gateway_parts {
     key_value_store& store;
-    instance_list& servers; ///< backend servers
-    instance_list& members; ///< entry instances
+    watched_instance_list& servers; ///< backend servers
+    instance_list& members;         ///< entry instances
     call_protocol protocol;
     fleet::manifest_source manifests;
     std::string member_key;    ///< key of this instance's own record in the store
@@ -53,7 +53,8 @@
 private:
     void every(std::chrono::milliseconds interval, std::function<void()> action);
     void tick();
-    void poll_servers();
+    void on_servers();
+    std::vector<std::string> live_peers() const;
     void poll_members();
     void on_manifest();
     void reread_settings();
@@ -73,7 +74,7 @@
     gateway_settings settings_;
     gateway_parts parts_;
     metrics_registry metrics_;
-    fleet::replica_registry replicas_;
+    fleet::server_list servers_;
     connection_pool connections_;
     steady_time started_;
     retry_window retries_;
@@ -86,10 +87,7 @@
     http_server directory_;
     http_server metrics_server_;
     boost::asio::signal_set signals_;
-    bool is_polling_servers_ = false;
     bool is_polling_members_ = false;
-    bool are_servers_known_ = false;
-    bool is_list_lost_ = false;
     steady_time stop_began_{}; ///< epoch: no stop
 };
 
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -39,8 +39,10 @@
          "File descriptors that the process may use."},
         {"store", "address", t::address, true, "", "Address of the key-value service."},
         {"store", "timeout", t::duration, false, "500ms", "Limit of one call."},
-        {"store", "replica_poll", t::duration, false, "500ms",
-         "Time between two reads of the backend servers."},
+        {"store", "server_interval", t::duration, false, "500ms",
+         "Time between two calls for the backend servers while their list changes."},
+        {"store", "server_wait", t::duration, false, "2s",
+         "How long one watch of the backend servers waits."},
         {"store", "member_poll", t::duration, false, "5s",
          "Time between two reads of the other instances."},
         {"store", "config_wait", t::duration, false, "2s",
@@ -78,7 +80,8 @@
     out.max_descriptors = values.integer("gateway.max_descriptors");
     out.store_address = endpoint_of(values, "store.address");
     out.store_timeout = values.duration("store.timeout");
-    out.replica_poll = values.duration("store.replica_poll");
+    out.server_interval = values.duration("store.server_interval");
+    out.server_wait = values.duration("store.server_wait");
     out.member_poll = values.duration("store.member_poll");
     out.config_wait = values.duration("store.config_wait");
     out.retries.ratio = values.number("retries.ratio");
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -29,7 +29,8 @@
     std::uint64_t max_descriptors = 0;
     endpoint_text store_address;
     std::chrono::milliseconds store_timeout{0};
-    std::chrono::milliseconds replica_poll{0};
+    std::chrono::milliseconds server_interval{0};
+    std::chrono::milliseconds server_wait{0};
     std::chrono::milliseconds member_poll{0};
     std::chrono::milliseconds config_wait{0};
     retry_settings retries;
--- a/src/peer/envelope_kind.h
+++ b/src/peer/envelope_kind.h
@@ -34,10 +34,12 @@
     explain,
     explained,
     demand,
-    drain
+    drain,
+    servers_request,
+    servers
 };
 
-constexpr std::size_t envelope_kind_count = 22;
+constexpr std::size_t envelope_kind_count = 24;
 
 /// The first field that is set.
 envelope_kind kind_of(const wire::envelope& message);
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -37,7 +37,8 @@
 std::size_t longest_list(const wire::envelope& message)
 {
     return std::max({message.ping.updates.size(), message.ping_ack.updates.size(),
-                     message.ask.prefix_blocks.size(), message.ask.excluded.size(),
+                     message.ask.prefix_blocks.size(), message.ask.prefix_tokens.size(),
+                     message.ask.excluded.size(), message.servers.servers.size(),
                      message.grant.candidates.size(), message.holdings.holdings.size(),
                      message.explained.lines.size(), message.demand.loads.size(),
                      message.demand.replicas.size(), message.drain.replicas.size(),
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -239,6 +239,30 @@
   3: required list<string> replicas,
 }
 
+// Asks another instance for the list of backend servers while the sender can't read it.
+struct server_list_request {
+  1: required i64 known_revision,
+}
+
+struct listed_server {
+  1: required string id,
+  2: required string service_name,
+  3: required string address,
+  4: required string failure_domain,
+  5: required i64 incarnation,
+  6: required i32 max_in_flight,
+  7: required bool leaving,
+}
+
+struct server_list_reply {
+  1: required i64 revision,
+  // Since the list was last known to be this one.
+  2: required i64 age_ms,
+  // The sender of the request has this revision; servers is empty.
+  3: required bool unchanged,
+  4: required list<listed_server> servers,
+}
+
 // Exactly one field is set.
 union envelope {
   1: hello greeting,
@@ -262,4 +286,6 @@
   19: explain_reply explained,
   20: pool_demand demand,
   21: drain_notice drain,
+  22: server_list_request servers_request,
+  23: server_list_reply servers,
 }
--- a/src/peer/tests/frame_test.cpp
+++ b/src/peer/tests/frame_test.cpp
@@ -48,6 +48,23 @@
     CHECK(to_string(kind_of(decoded)) == "ping");
 }
 
+// A message whose kind the frame does not know is dropped by the receiver.
+TEST_CASE("a list of servers and its request survive encoding and decoding")
+{
+    wire::envelope request;
+    request.__set_servers_request(wire::server_list_request{});
+    wire::server_list_reply reply;
+    reply.revision = 9;
+    reply.servers.resize(2);
+    wire::envelope list;
+    list.__set_servers(reply);
+    for (const auto& message : {request, list}) {
+        wire::envelope decoded;
+        REQUIRE(decode_body(body_of(message), decoded) == frame_status::complete);
+        CHECK(decoded == message);
+    }
+}
+
 TEST_CASE("headers: incomplete ones wait, lengths above the limit are refused")
 {
     struct row {
--- a/src/store/instance_list.h
+++ b/src/store/instance_list.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "store/types/watch_status.h"
+
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,4 +49,29 @@
     instance_list& operator=(const instance_list&) = default;
 };
 
+/// A change of one line of the list.
+struct instance_change {
+    std::string id;
+    std::uint64_t revision = 0;
+    std::optional<listed_instance> instance; ///< nothing: the line was removed or is not usable
+};
+
+struct instance_watch_result {
+    watch_status status = watch_status::failed;
+    std::uint64_t revision = 0;           ///< the next watch starts after it
+    std::vector<instance_change> changes; ///< in order
+    std::string message;                  ///< cause of a failure
+};
+
+/// A list whose changes can be awaited.
+class watched_instance_list : public instance_list {
+public:
+    using watch_handler = std::function<void(const instance_watch_result&)>;
+
+    /// Waits for changes after the revision, or until the time has passed. The handler runs on the
+    /// control thread, exactly once, never from within the call.
+    virtual void watch(std::uint64_t after_revision, std::chrono::milliseconds wait,
+                       watch_handler done) = 0;
+};
+
 } // namespace almondline
--- a/src/store/key_range.h
+++ b/src/store/key_range.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "store/types/watch_status.h"
+
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -20,14 +23,30 @@
     std::string message;        ///< cause of a failure
 };
 
+struct record_change {
+    stored_record record; ///< without a value if it was removed
+    bool is_removed = false;
+};
+
+struct range_watch_result {
+    watch_status status = watch_status::failed;
+    std::uint64_t revision = 0;         ///< the next watch starts after it
+    std::vector<record_change> changes; ///< in order
+    std::string message;                ///< cause of a failure
+};
+
 /// Reads all records of the platform's key-value service whose keys have a prefix.
 class key_range_reader {
 public:
     using range_handler = std::function<void(const range_result&)>;
+    using range_watch_handler = std::function<void(const range_watch_result&)>;
 
     virtual ~key_range_reader() = default;
     /// The handler runs on the control thread, exactly once, never from within the call.
     virtual void read_range(const std::string& prefix, range_handler handler) = 0;
+    /// Waits for changes after the revision, or until the time has passed. Handler as above.
+    virtual void watch_range(const std::string& prefix, std::uint64_t after_revision,
+                             std::chrono::milliseconds wait, range_watch_handler handler) = 0;
 
 protected:
     key_range_reader() = default;
--- a/tests/platform/contract_test.py
+++ b/tests/platform/contract_test.py
@@ -127,6 +127,43 @@
         self.assertEqual(self.fleet.request("/order/1", deadline_ms=400).status, 504)
         self.assertLess(time.monotonic() - begin, 0.9)
 
+    def leave_after(self, path, method, first_byte):
+        """Closes a caller's connection while its request runs; seconds until the replica saw it."""
+        gateway = self.fleet.gateways[0]
+        caller = http.client.HTTPConnection("127.0.0.1", gateway.ports["front"], timeout=5)
+        fields = self.fleet.request_fields(deadline_ms=5000)
+        caller.request(method, path, None if method == "GET" else b"hello", fields)
+        if first_byte:
+            response = caller.getresponse()
+            response.read(1)
+            response.close()
+        else:
+            time.sleep(0.3)
+        caller.close()
+        left = time.monotonic()
+        broken_off = [it.broken_off for it in self.fleet.replicas.values()]
+        self.assertTrue(wait_until(lambda: any(broken_off)))
+        seen = next(it[0] for it in broken_off if it)
+        for it in broken_off:
+            it.clear()
+        return seen - left
+
+    def test_work_ends_when_the_caller_leaves_before_the_answer(self):
+        # Replicas worked on for callers that had left, while others waited.
+        for it in self.fleet.replicas.values():
+            it.behaviour = lambda handler: handler.wait_for_end(4)
+        self.assertLess(self.leave_after("/look/1", "GET", first_byte=False), 0.5)
+
+    def test_stream_ends_when_the_caller_leaves(self):
+        def begin(handler):
+            handler.start_stream()
+            handler.write_chunk(b"id: 1\ndata: piece 1\n\n")
+            return handler.wait_for_end(4)
+
+        for it in self.fleet.replicas.values():
+            it.behaviour = begin
+        self.assertLess(self.leave_after("/resume-stream/1", "POST", first_byte=True), 0.5)
+
     def test_leaving_replica_gets_no_requests(self):
         self.fleet.add_replica("desk-leaving", "desk")
         it = self.fleet.replicas["desk-leaving"]
@@ -218,6 +255,24 @@
             for n in range(2):
                 self.assertEqual(fleet.request("/order/1", gateway=n).status, 200)
 
+    def test_gateway_that_the_store_turns_away_learns_of_servers_from_the_others(self):
+        # It went on using replicas that had left, although the others knew.
+        with GatewayFleet(2) as fleet:
+            time.sleep(3)  # the lists count as complete
+            turned_away = fleet.gateways[1]
+            turned_away.store.is_closed = True
+            time.sleep(1)
+            fleet.add_replica("desk-new", "desk")
+            for n in range(2):
+                fleet.announce(f"desk-{n}", state="draining")
+            time.sleep(2)
+            old = fleet.replicas["desk-0"], fleet.replicas["desk-1"]
+            for it in old:
+                it.runs.clear()
+            for _ in range(20):
+                self.assertEqual(fleet.request("/look/1", "GET", None, gateway=1).status, 200)
+            self.assertFalse([it.runs for it in old if it.runs])
+
     def test_another_gateway_takes_over_granting(self):
         with GatewayFleet(3) as fleet:
             self.assertTrue(wait_until(lambda: fleet.request("/order/1").status == 200))
--- a/tests/platform_standins/metadata_store.py
+++ b/tests/platform_standins/metadata_store.py
@@ -135,6 +135,18 @@
         return 404, {}
 
 
+class Entrance:
+    """A way to the store that can be closed for those who use it."""
+
+    def __init__(self, store):
+        self.store = store
+        self.lock = store.lock
+        self.is_closed = False
+
+    def answer(self, *call):
+        return (503, {}) if self.is_closed else self.store.answer(*call)
+
+
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     store = None
--- a/tests/platform_standins/replica.py
+++ b/tests/platform_standins/replica.py
@@ -14,6 +14,7 @@
         self.behaviour = lambda handler: None  # may answer itself and return True
         self.events = 3
         self.event_pause = 0.0
+        self.broken_off = []     # times at which a caller's end broke off a run
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -58,6 +59,19 @@
             self.write_chunk(b"id: %d\ndata: piece %d\n\n" % (n, n))
         self.wfile.write(b"0\r\n\r\n")
 
+    def wait_for_end(self, seconds):
+        """Works until the other side closes the connection, or the time has passed."""
+        self.connection.settimeout(seconds)
+        try:
+            if not self.connection.recv(1):
+                self.replica.broken_off.append(time.monotonic())
+        except TimeoutError:
+            pass
+        except OSError:
+            self.replica.broken_off.append(time.monotonic())
+        self.close_connection = True
+        return True
+
     def handle_call(self):
         replica = self.replica
         length = int(self.headers.get("Content-Length", 0))
