Prefer a replica in the failure domain of the dispatching instance

A replica in another domain now costs 5 ms in its score, about as much as one or two requests in progress.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,6 +84,7 @@
     out.pools.granter.routing.slow_below = 0;
     out.pools.granter.routing.overdue_penalty = 5;
     out.pools.granter.routing.interference_weight = 0.3;
+    out.pools.granter.routing.remote_penalty = 0.005;
     out.pools.granter.routing.decode_weight = 0.005;
     out.pools.granter.routing.uses_eased_when_none_healthy = true;
     out.pools.granter.routing.max_probe_interval = milliseconds{4'000};
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -75,6 +75,12 @@
     return std::max(0.0, first_token - goal.count());
 }
 
+bool is_remote(const replica& of, const request_shape& request)
+{
+    return !request.failure_domain.empty() && !of.spec.failure_domain.empty() &&
+           request.failure_domain != of.spec.failure_domain;
+}
+
 bool is_overdue(const request_shape& request, double seconds)
 {
     if (!request.time_left) {
@@ -99,6 +105,9 @@
                    table.config.interference_weight * prefill * of.in_flight +
                    table.config.failure_penalty * of.failure_rate +
                    table.config.balance_weight * share;
+    if (is_remote(of, request)) {
+        result.score += table.config.remote_penalty;
+    }
     if (is_overdue(request, result.first_token + table.config.overdue_margin * decode)) {
         result.score += table.config.overdue_penalty;
     }
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -206,6 +206,29 @@
     CHECK(choose(f.table, held, f.clock.now())->hit_tokens == 3000);
 }
 
+// Prompts cross the links between failure domains for nothing while a local replica is as good.
+TEST_CASE(
+    "a replica in the failure domain of the dispatching instance goes first until it is busier")
+{
+    auto near = make_spec("near");
+    near.failure_domain = "a";
+    auto far = make_spec("far");
+    far.failure_domain = "b";
+    fixture f{far, near};
+    f.table.config.balance_weight = 0.1;
+    f.table.config.remote_penalty = 0.02;
+    request_shape request = make_request("x");
+    request.failure_domain = "a";
+    CHECK(f.chosen(request) == "near");
+    for (int i = 0; i < 4; ++i) {
+        on_dispatch(f.table, "near", make_request("r" + std::to_string(i)), f.clock.now());
+    }
+    f.clock.advance(5s);
+    CHECK(f.chosen(request) == "far");
+    request.failure_domain = "b";
+    CHECK(f.chosen(request) == "far");
+}
+
 TEST_CASE("cache events: repeated ones are skipped, a gap halves the trust, evictions count")
 {
     fixture f{make_spec("a"), make_spec("b")};
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -137,6 +137,9 @@
     /// is added to the score once for each of them. Slow replicas with many streams get fewer long
     /// prompts.
     double interference_weight = 0;
+    /// Added to the score of a replica, in s, that is in another failure domain than the instance
+    /// that will dispatch. Keeps prompts off the links between failure domains.
+    double remote_penalty = 0;
     /// Added to the score of a replica, in s, times the share of its slots in use. Spreads work
     /// whose service time is not known.
     double balance_weight = 0;
--- a/src/routing/types/request_shape.h
+++ b/src/routing/types/request_shape.h
@@ -17,8 +17,8 @@
     std::vector<std::uint64_t> prefix_blocks; ///< chained hashes of the prompt's blocks, in order
     /// Prompt tokens up to the end of each block. Empty: all blocks are of one size.
     std::vector<std::int32_t> prefix_tokens;
-    std::vector<std::string> excluded;        ///< backend servers not to be chosen
-    std::string failure_domain;               ///< of the entry instance that will dispatch
+    std::vector<std::string> excluded; ///< backend servers not to be chosen
+    std::string failure_domain;        ///< of the entry instance that will dispatch
     /// A first token within this time is on time; a faster one is not better. Not set: the faster
     /// the better.
     std::optional<std::chrono::milliseconds> first_token_goal;
