Use the header timeout of the desired state and report store calls

What was read and not used: the header timeout now ends a header that takes too long from its first byte on (callers that sent it slowly held connections as long as idle ones; the new test fails without it), the store's call counts and the peers' bytes are metrics of the gateway too (fleet::report_metrics, one copy for both programs), and the region setting, which nothing used, is gone. Refusals of unknown keys log a part of the key's hash, and each change of an allowance is logged.

--- a/src/entry/internal/control_state.cpp
+++ b/src/entry/internal/control_state.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "entry/internal/status_report.h"
+#include "fleet/node_metrics.h"
 #include "fleet/periodic.h"
 #include "idempotency/wire_format.h"
 #include "membership/wire_format.h"
@@ -230,32 +231,7 @@
 
 void control_state::update_metrics()
 {
-    metrics.set("almondline_manifest_version", {}, static_cast<double>(node.manifests.version()));
-    metrics.set("almondline_members", {}, static_cast<double>(node.member_count()));
-    metrics.set("almondline_suspicions_total", {}, static_cast<double>(node.members.suspicions()));
-    metrics.set("almondline_deaths_total", {}, static_cast<double>(node.members.deaths()));
-    const auto& calls = store.counts();
-    const auto set_calls = [&](std::string_view kind, std::uint64_t n) {
-        metrics.set("almondline_store_calls_total", {{"kind", kind}}, static_cast<double>(n));
-    };
-    set_calls("get", calls.gets);
-    set_calls("watch", calls.watches);
-    set_calls("put", calls.puts);
-    set_calls("lease", calls.lease_calls);
-    set_calls("failed", calls.failed);
-    set_calls("held-back", calls.held_back);
-    set_calls("lost-answer", calls.lost_answers);
-    const auto& traffic = node.transport.counters();
-    std::uint64_t sent = 0;
-    std::uint64_t received = 0;
-    for (std::size_t i = 0; i < traffic.sent.size(); ++i) {
-        sent += traffic.sent[i].bytes;
-        received += traffic.received[i].bytes;
-    }
-    metrics.set("almondline_control_bytes_total", {{"direction", "sent"}},
-                static_cast<double>(sent));
-    metrics.set("almondline_control_bytes_total", {{"direction", "received"}},
-                static_cast<double>(received));
+    fleet::report_metrics(metrics, node, store.counts());
     metrics.set("almondline_engine_reads_total", {}, static_cast<double>(monitor.calls()));
 }
 
--- /dev/null
+++ b/src/fleet/node_metrics.cpp
@@ -0,0 +1,52 @@
+#include "fleet/node_metrics.h"
+
+#include <string_view>
+
+namespace almondline::fleet {
+
+namespace {
+
+void report_calls(metrics_registry& metrics, const store_call_counts& calls)
+{
+    const auto set = [&](std::string_view kind, std::uint64_t n) {
+        metrics.set("almondline_store_calls_total", {{"kind", kind}}, static_cast<double>(n));
+    };
+    set("get", calls.gets);
+    set("watch", calls.watches);
+    set("put", calls.puts);
+    set("lease", calls.lease_calls);
+    set("failed", calls.failed);
+    set("held-back", calls.held_back);
+    set("lost-answer", calls.lost_answers);
+}
+
+void report_traffic(metrics_registry& metrics, const peer::peer_counters& traffic)
+{
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    for (std::size_t i = 0; i < traffic.sent.size(); ++i) {
+        sent += traffic.sent[i].bytes;
+        received += traffic.received[i].bytes;
+    }
+    const auto set = [&](std::string_view direction, std::uint64_t n) {
+        metrics.set("almondline_control_bytes_total", {{"direction", direction}},
+                    static_cast<double>(n));
+    };
+    set("sent", sent);
+    set("received", received);
+}
+
+} // namespace
+
+void report_metrics(metrics_registry& metrics, const node& of, const store_call_counts& calls)
+{
+    const auto set = [&](std::string_view name, double value) { metrics.set(name, {}, value); };
+    set("almondline_manifest_version", static_cast<double>(of.manifests.version()));
+    set("almondline_members", static_cast<double>(of.member_count()));
+    set("almondline_suspicions_total", static_cast<double>(of.members.suspicions()));
+    set("almondline_deaths_total", static_cast<double>(of.members.deaths()));
+    report_calls(metrics, calls);
+    report_traffic(metrics, of.transport.counters());
+}
+
+} // namespace almondline::fleet
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "common/log.h"
+#include "fleet/node_metrics.h"
 #include "fleet/periodic.h"
 #include "gateway/internal/durations.h"
 #include "gateway/request_flow.h"
@@ -189,6 +190,7 @@
         const auto& stated = routes_->content->limits;
         out.max_header_bytes = stated.max_header_bytes;
         out.max_body_bytes = stated.max_body_bytes;
+        out.header_timeout = stated.header_timeout;
         out.idle_timeout = stated.idle_timeout;
     }
     return out;
@@ -353,10 +355,8 @@
 
 void gateway::update_metrics()
 {
+    fleet::report_metrics(metrics_, node_, parts_.store_calls());
     const auto set = [this](std::string_view name, double value) { metrics_.set(name, {}, value); };
-    set("almondline_manifest_version", static_cast<double>(node_.manifests.version()));
-    set("almondline_members", static_cast<double>(node_.member_count()));
-    set("almondline_suspicions_total", static_cast<double>(node_.members.suspicions()));
     set("almondline_caller_connections", static_cast<double>(front_.open_connections()));
     set("almondline_requests_in_progress", static_cast<double>(front_.requests_in_progress()));
     set("almondline_backend_connections_idle", static_cast<double>(connections_.size()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "metrics/registry.h"
 #include "store/instance_list.h"
 #include "store/key_value_store.h"
+#include "store/types/store_limits.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -27,6 +28,8 @@
     key_value_store& store;
     watched_instance_list& servers; ///< backend servers
     instance_list& members;         ///< entry instances
+    /// Calls of the store so far, for metrics.
+    std::function<store_call_counts()> store_calls;
     call_protocol protocol;
     fleet::manifest_source manifests;
     std::string member_key;    ///< key of this instance's own record in the store
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -23,7 +23,6 @@
     static const std::vector<setting_spec> specs{
         {"gateway", "instance_name", t::text, true, "", "Name of the instance's machine."},
         {"gateway", "failure_domain", t::text, true, "", "Failure domain of this instance."},
-        {"gateway", "region", t::text, false, "", "Region of this instance."},
         {"gateway", "listen", t::address, true, "", "Address for callers."},
         {"gateway", "health_listen", t::address, true, "", "Address of the readiness check."},
         {"gateway", "directory_listen", t::address, true, "",
@@ -68,7 +67,6 @@
     gateway_settings out;
     out.instance_name = values.text("gateway.instance_name");
     out.failure_domain = values.text("gateway.failure_domain");
-    out.region = values.text("gateway.region");
     out.listen = endpoint_of(values, "gateway.listen");
     out.health_listen = endpoint_of(values, "gateway.health_listen");
     out.directory_listen = endpoint_of(values, "gateway.directory_listen");
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -16,7 +16,6 @@
 struct gateway_settings {
     std::string instance_name; ///< of the machine; each start of the process adds an id of its own
     std::string failure_domain;
-    std::string region;
     endpoint_text listen;
     endpoint_text health_listen;
     endpoint_text directory_listen;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_flow.h"
 
+#include "common/hash.h"
 #include "common/log.h"
 #include "gateway/credit_wait.h"
 #include "gateway/internal/durations.h"
@@ -23,6 +24,7 @@
 
 constexpr int first_server_error = 500;
 constexpr double plain_cost = 1;
+constexpr std::size_t logged_hash_length = 12;
 
 int status_of(const refusal& why)
 {
@@ -118,6 +120,7 @@
     if (routes_->content->needs_keys && !route_->is_public) {
         account_ = find_account_of_key(*routes_, call_.key);
         if (account_ == nullptr) {
+            cause_ = "key hash " + sha256_hex(call_.key).substr(0, logged_hash_length);
             refusal why{verdict::not_run, "unknown-key", "the key belongs to no account", {}};
             co_await refuse(401, std::move(why));
             co_return false;
--- a/src/granting/pools.cpp
+++ b/src/granting/pools.cpp
@@ -72,7 +72,7 @@
     settings.pool = service.name;
     if (granters_.empty()) {
         allowances_.buckets.clear();
-        scheduling::reconfigure(allowances_, manifest_->accounts, clock_.now());
+        update_allowances();
     }
     auto made = std::make_unique<granter>(settings, make_config(service), clock_, sender_,
                                           decisions_, lookup_, &allowances_);
@@ -100,12 +100,30 @@
     }
 }
 
+void pools::update_allowances()
+{
+    const auto before = allowances_.buckets;
+    scheduling::reconfigure(allowances_, manifest_->accounts, clock_.now());
+    for (const auto& [account, bucket] : allowances_.buckets) {
+        const auto known = before.find(account);
+        if (known != before.end() && known->second.rate == bucket.rate &&
+            known->second.capacity == bucket.capacity) {
+            continue;
+        }
+        log_event("granting", log_level::info, "allowance-changed",
+                  {{"account", account},
+                   {"tokens_per_s", bucket.rate},
+                   {"capacity", bucket.capacity},
+                   {"manifest", manifest_->version}});
+    }
+}
+
 void pools::apply_manifest(std::shared_ptr<const manifest> content)
 {
     manifest_ = std::move(content);
     std::erase_if(granters_,
                   [&](const auto& it) { return find_service(*manifest_, it.first) == nullptr; });
-    scheduling::reconfigure(allowances_, manifest_->accounts, clock_.now());
+    update_allowances();
     for (auto& [name, granter] : granters_) {
         const auto* service = find_service(*manifest_, name);
         granter->reconfigure(make_config(*service));
--- a/src/granting/pools.h
+++ b/src/granting/pools.h
@@ -50,6 +50,7 @@
 private:
     void create(const service_policy& service);
     scheduling::queue_config make_config(const service_policy& service) const;
+    void update_allowances();
     void forget_replica(const std::string& id);
     void update_replicas(granter& target, const service_policy& service);
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -37,6 +37,7 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds accept_retry_delay{50};
+constexpr std::size_t first_read_bytes = 4096;
 
 http_request from_beast(http::request<http::string_body>&& message)
 {
@@ -260,6 +261,8 @@
     asio::awaitable<void> accept_loop(std::shared_ptr<state> self);
     asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket socket);
     asio::awaitable<bool> secure(http_stream& stream);
+    asio::awaitable<bool> wait_for_request(http_stream& stream, beast::flat_buffer& buf,
+                                           std::chrono::milliseconds limit);
     asio::awaitable<bool> serve_one(http_stream& stream, beast::flat_buffer& buf);
 
     asio::io_context& io;
@@ -311,6 +314,20 @@
     co_return error.empty();
 }
 
+/// Waits for the first bytes of a request. Returns false if none came.
+asio::awaitable<bool> http_server::state::wait_for_request(http_stream& stream,
+                                                           beast::flat_buffer& buf,
+                                                           std::chrono::milliseconds limit)
+{
+    if (buf.size() > 0) {
+        co_return true;
+    }
+    stream.lower().expires_after(limit);
+    const auto [ec, n] = co_await stream.async_read_some(buf.prepare(first_read_bytes), use_tuple);
+    buf.commit(n);
+    co_return !ec;
+}
+
 asio::awaitable<bool> http_server::state::serve_one(http_stream& stream, beast::flat_buffer& buf)
 {
     const auto in_force = this->limits();
@@ -318,11 +335,12 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.max_header_bytes);
     parser.body_limit(limits.max_body_bytes);
-    stream.lower().expires_after(limits.idle_timeout);
-    auto [ec, n] = co_await http::async_read_header(stream, buf, parser, use_tuple);
-    if (ec == beast::error::timeout && buf.size() == 0) {
+    const bool is_begun = co_await wait_for_request(stream, buf, limits.idle_timeout);
+    if (!is_begun) {
         co_return false;
     }
+    stream.lower().expires_after(limits.header_timeout);
+    auto [ec, n] = co_await http::async_read_header(stream, buf, parser, use_tuple);
     const body_reservation reserved{body_bytes, limits.max_total_body_bytes,
                                     ec ? 0 : expected_body(parser, limits)};
     if (!reserved.is_granted()) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -23,8 +23,9 @@
     std::uint64_t max_total_body_bytes = 256 * 1024 * 1024;
     /// Share of the total that a body without an announced length takes while it is read.
     std::uint64_t unannounced_body_bytes = 8 * 1024 * 1024;
+    std::chrono::milliseconds header_timeout{30'000};   ///< for a header, from its first byte on
     std::chrono::milliseconds read_timeout{30'000};     ///< for the body of one request
-    std::chrono::milliseconds idle_timeout{60'000};     ///< for the header, and between requests
+    std::chrono::milliseconds idle_timeout{60'000};     ///< until a request begins
     std::chrono::milliseconds write_timeout{10'000};    ///< for one write; ends slow readers
     std::chrono::milliseconds handshake_timeout{5'000}; ///< for the whole TLS handshake
 };
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -88,6 +89,41 @@
     CHECK(f.server.requests_in_progress() == 0);
 }
 
+// Callers that send their header slowly held connections as long as idle ones.
+TEST_CASE("a header that takes too long ends its connection, an idle connection stays")
+{
+    asio::io_context io;
+    http_server_limits limits;
+    limits.header_timeout = std::chrono::milliseconds{100};
+    http_server server{io, {"127.0.0.1", 0}, limits, echo};
+    const asio::ip::tcp::endpoint address{asio::ip::address_v4::loopback(), server.port()};
+    bool is_slow_ended = false;
+    bool is_idle_served = false;
+    const auto run = [&]() -> asio::awaitable<void> {
+        asio::ip::tcp::socket slow{io};
+        asio::ip::tcp::socket idle{io};
+        co_await slow.async_connect(address, asio::use_awaitable);
+        co_await idle.async_connect(address, asio::use_awaitable);
+        co_await asio::async_write(slow, asio::buffer("GET /x HT", 9), asio::use_awaitable);
+        std::string answer(1024, '\0');
+        boost::system::error_code ec;
+        while (!ec) {
+            co_await slow.async_read_some(asio::buffer(answer),
+                                          asio::redirect_error(asio::use_awaitable, ec));
+        }
+        is_slow_ended = true;
+        const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+        co_await asio::async_write(idle, asio::buffer(request), asio::use_awaitable);
+        const auto n = co_await idle.async_read_some(asio::buffer(answer), asio::use_awaitable);
+        is_idle_served = answer.substr(0, n).starts_with("HTTP/1.1 201");
+        io.stop();
+    };
+    asio::co_spawn(io, run(), asio::detached);
+    io.run_for(std::chrono::seconds{5});
+    CHECK(is_slow_ended);
+    CHECK(is_idle_served);
+}
+
 // Guards against callers that together use up the memory, each within its own limit.
 TEST_CASE("http_server refuses a body beyond the bytes of all requests in progress, and recovers")
 {
