--- a/src/granting/tests/granting_fixture.h
+++ b/src/granting/tests/granting_fixture.h
@@ -7,6 +7,7 @@
 #include "peer/envelope_kind.h"
 #include "peer/wire.h"
 #include "routing/routing.h"
+#include "scheduling/allowance.h"
 #include "scheduling/queue.h"
 
 #include <algorithm>
@@ -82,6 +83,7 @@
         message_router router;
         asker own_asker;
         std::unique_ptr<granter> own_granter;
+        scheduling::allowance_book allowances; ///< of own_granter
         bool is_running = true;
     };
 
@@ -102,9 +104,12 @@
         config.tiers = {{"urgent", 0}, {"normal", 0}, {"batch", 0}};
         config.max_waiting = max_waiting;
         auto& member = *members.at(name);
-        member.own_granter =
-            std::make_unique<granter>(granter_settings{.instance_id = name, .pool = pool_name},
-                                      config, clock, member.router, member.decisions);
+        member.allowances = {};
+        member.allowances.settings = allowance_limits;
+        scheduling::reconfigure(member.allowances, accounts, clock.now());
+        member.own_granter = std::make_unique<granter>(
+            granter_settings{.instance_id = name, .pool = pool_name}, config, clock, member.router,
+            member.decisions, failure_domain_lookup{}, &member.allowances);
         for (int n = 1; n <= backends; ++n) {
             routing::replica_spec spec;
             spec.id = "b" + std::to_string(n);
@@ -144,6 +149,7 @@
         what.model = model;
         what.tier = tier;
         what.prompt_tokens = 10;
+        what.allowance_cost = allowance_cost;
         what.deadline = clock.now() + deadline;
         records[id];
         members.at(holder)->own_asker.request_credit(
@@ -169,6 +175,7 @@
             return;
         }
         ++records[id].dispatches;
+        dispatched.push_back(clock.now());
         running[id] = {holder, clock.now() + service};
         peak = std::max(peak, running.size());
     }
@@ -242,7 +249,11 @@
     std::map<std::string, request_record> records;
     std::map<std::string, std::pair<std::string, steady_time>> running; ///< holder and end
     std::size_t peak = 0;
-    std::string model;          ///< of the next asks
+    std::vector<steady_time> dispatched; ///< in order
+    std::string model;                   ///< of the next asks
+    double allowance_cost = 0;           ///< of the next asks
+    std::vector<account_policy> accounts;
+    scheduling::allowance_settings allowance_limits;
     bool is_dispatching = true; ///< false: grants are received but not used
 };
 
