Let only large instances grant

Cause: on the grown sites 66 of 72 machines have 0.12 of a core.

Instances state their cores in the membership messages; the owner is chosen among those with at least half of the cores of the largest one.

--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -34,6 +34,8 @@
         {"gateway", "stop_limit", t::duration, false, "30s",
          "Time after a stop signal at which the process is killed."},
         {"gateway", "memory_mb", t::integer, false, "256", "Memory that the process may use."},
+        {"gateway", "cores", t::number, false, "1",
+         "Processor cores that the process may use. Instances with few do not grant."},
         {"gateway", "max_descriptors", t::integer, false, "4096",
          "File descriptors that the process may use."},
         {"store", "address", t::address, true, "", "Address of the key-value service."},
@@ -75,6 +77,7 @@
     out.address_lifetime = values.duration("gateway.address_lifetime");
     out.stop_limit = values.duration("gateway.stop_limit");
     out.memory_mb = values.integer("gateway.memory_mb");
+    out.cores = values.number("gateway.cores");
     out.max_descriptors = values.integer("gateway.max_descriptors");
     out.store_address = endpoint_of(values, "store.address");
     out.store_timeout = values.duration("store.timeout");
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -22,9 +22,9 @@
     endpoint_text metrics_listen;
     std::string peer_address;
     std::chrono::milliseconds address_lifetime{0};
-    std::chrono::milliseconds stop_limit{
-        0}; ///< the process is killed this long after a stop signal
+    std::chrono::milliseconds stop_limit{0}; ///< from a stop signal until the process is killed
     std::uint64_t memory_mb = 0;
+    double cores = 0;
     std::uint64_t max_descriptors = 0;
     endpoint_text store_address;
     std::chrono::milliseconds store_timeout{0};
--- a/src/granting/pool_owner.cpp
+++ b/src/granting/pool_owner.cpp
@@ -2,6 +2,9 @@
 
 #include "common/hash.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace almondline::granting {
 
 namespace {
@@ -12,6 +15,23 @@
            it.status == membership::member_status::suspect;
 }
 
+/// Granting takes more of a processor than anything else that an instance does: a small machine
+/// would make the whole fleet wait.
+constexpr double least_part_of_cores = 0.5;
+
+std::vector<membership::member> large_enough(const std::vector<membership::member>& members)
+{
+    double most = 0;
+    for (const auto& it : members) {
+        most = can_own(it) ? std::max(most, it.cores) : most;
+    }
+    std::vector<membership::member> out;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(out), [&](const auto& it) {
+        return can_own(it) && it.cores >= least_part_of_cores * most;
+    });
+    return out;
+}
+
 } // namespace
 
 pool_granter pool_owner(const std::string& pool, const std::vector<membership::member>& members,
@@ -19,10 +39,7 @@
 {
     std::vector<std::string> near;
     std::vector<std::string> all;
-    for (const auto& it : members) {
-        if (!can_own(it)) {
-            continue;
-        }
+    for (const auto& it : large_enough(members)) {
         all.push_back(it.id);
         if (it.failure_domain == failure_domain) {
             near.push_back(it.id);
--- a/src/granting/tests/granter_test.cpp
+++ b/src/granting/tests/granter_test.cpp
@@ -195,6 +195,27 @@
     CHECK(pool_owner("chat", {}, "north").instance_id.empty());
 }
 
+// On the grown sites an instance with 0.12 of a core granted for 72 machines: 25 in 100 requests
+// were served instead of 88.
+TEST_CASE("a small instance does not grant while larger ones live")
+{
+    std::vector<membership::member> members;
+    for (int n = 0; n < 30; ++n) {
+        membership::member it;
+        it.id = "e" + std::to_string(n);
+        it.incarnation = 100 + n;
+        it.cores = n < 3 ? 0.5 : 0.12;
+        members.push_back(it);
+    }
+    for (const auto* pool : {"a", "b", "c", "d", "e", "f"}) {
+        CHECK(pool_owner(pool, members, {}).incarnation < 103);
+    }
+    for (int n = 0; n < 3; ++n) {
+        members[static_cast<std::size_t>(n)].status = membership::member_status::dead;
+    }
+    CHECK(pool_owner("a", members, {}).incarnation >= 103);
+}
+
 TEST_CASE("values of an ask from another process are brought into range")
 {
     const double nan = std::numeric_limits<double>::quiet_NaN();
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -197,6 +197,7 @@
     known.info.refutation = update.refutation;
     copy_if_given(known.info.peer_address, update.peer_address);
     copy_if_given(known.info.caller_address, update.caller_address);
+    known.info.cores = update.cores > 0 ? update.cores : known.info.cores;
     known.is_leaving = known.is_leaving || update.status == member_status::leaving;
     const bool is_left = update.status == member_status::alive && known.is_leaving;
     set_status(known, is_left ? member_status::leaving : update.status, now);
--- a/src/membership/tests/wire_format_test.cpp
+++ b/src/membership/tests/wire_format_test.cpp
@@ -10,8 +10,8 @@
 
 TEST_CASE("probes and acks keep every field over the wire, so that no refutation is lost")
 {
-    const member full{"entry-1",     7,          3, member_status::suspect, "127.0.0.1:1",
-                      "127.0.0.1:2", "domain-a", 12};
+    const member full{"entry-1",  7,  3,   member_status::suspect, "127.0.0.1:1", "127.0.0.1:2",
+                      "domain-a", 12, 0.25};
     for (const bool is_ack : {false, true}) {
         const probe_message sent{is_ack, 42, {full}, "entry-9"};
         wire::envelope envelope;
@@ -35,6 +35,7 @@
         CHECK(m.caller_address == full.caller_address);
         CHECK(m.failure_domain == full.failure_domain);
         CHECK(m.manifest_version == 12);
+        CHECK(m.cores == 0.25);
     }
     probe_message none;
     CHECK_FALSE(from_wire(wire::envelope{}, none));
--- a/src/membership/types/member.h
+++ b/src/membership/types/member.h
@@ -34,6 +34,7 @@
     std::string caller_address;
     std::string failure_domain;
     std::int64_t manifest_version = 0;
+    double cores = 0; ///< processor cores that it may use; 0: not known
 };
 
 } // namespace almondline::membership
--- a/src/membership/wire_format.cpp
+++ b/src/membership/wire_format.cpp
@@ -2,12 +2,21 @@
 
 #include "peer/wire.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace almondline::membership {
 
 namespace {
 
+constexpr double thousand = 1000;
+constexpr double max_millicores = 1e9;
+
+std::int32_t to_millicores(double cores)
+{
+    return static_cast<std::int32_t>(std::min(cores * thousand, max_millicores));
+}
+
 wire::member_state::type to_wire(member_status status)
 {
     switch (status) {
@@ -55,6 +64,9 @@
         update.__set_failure_domain(it.failure_domain);
         update.__set_manifest_version(it.manifest_version);
         update.__set_refutation(it.refutation);
+        if (it.cores > 0) {
+            update.__set_millicores(to_millicores(it.cores));
+        }
         updates.push_back(std::move(update));
     }
     return updates;
@@ -75,6 +87,7 @@
         m.failure_domain = it.failure_domain;
         m.manifest_version = it.manifest_version;
         m.refutation = it.refutation;
+        m.cores = std::max(0, it.millicores) / thousand;
         members.push_back(std::move(m));
     }
     return members;
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -21,6 +21,8 @@
   7: optional i64 manifest_version,
   // Raised by the member itself to refute a suspicion.
   8: optional i64 refutation,
+  // Thousandths of a processor core that it may use.
+  9: optional i32 millicores,
 }
 
 struct probe {
