Watch the servers for longer, and read members less often in large fleets

A watch waits 8 s. What the short wait was for is found otherwise: a silent connection by TCP keep-alive probes within 3 s, and an outage in which entries lapse by any other call of the store that fails; a watch that began before such a failure is given up or not believed, and the list is read. During the grace time after an outage the list is watched too, removals are left out. Members are read at 0, 0.2, 0.6, 1.4 s after a start and then at an interval that grows with the fleet.

Ruled out: watchers for each failure domain that pass changes on, as the manifest has; they save more but make a leaving server known later.

--- a/src/fleet/replica_registry.cpp
+++ b/src/fleet/replica_registry.cpp
@@ -102,7 +102,8 @@
             continue;
         }
         const auto known = registry.replicas.find(it.id);
-        if (known != registry.replicas.end() && !known->second.is_gone) {
+        const bool is_present = known != registry.replicas.end() && !known->second.is_gone;
+        if (is_present && is_complete(registry, now)) {
             mark_gone(known->second, now);
             is_changed = true;
         }
--- a/src/fleet/replica_registry.h
+++ b/src/fleet/replica_registry.h
@@ -40,7 +40,7 @@
                 std::uint64_t revision, steady_time now);
 
 /// Takes changes of single entries, and returns true if anything changed. Changes older than the
-/// last read or change are ignored.
+/// last read or change are ignored, and so are removals while the registry is not complete.
 bool apply_changes(replica_registry& registry, const std::vector<instance_change>& changes,
                    steady_time now);
 
--- a/src/fleet/server_list.cpp
+++ b/src/fleet/server_list.cpp
@@ -51,6 +51,9 @@
 
 void server_list::tick(steady_time now)
 {
+    if (is_watching_ && is_watch_doubtful()) {
+        give_up_watch(now);
+    }
     if (!is_calling_ && now >= next_call_) {
         start_call(now);
     }
@@ -63,12 +66,53 @@
 {
     is_calling_ = true;
     next_call_ = now + retry_interval();
-    if (needs_read_) {
-        source_.fetch([this](const instance_list_result& result) { take_read(result); });
-        return;
+    ++call_;
+    if (needs_read_ || (is_partial_ && is_complete(registry_, now))) {
+        start_read();
+    }
+    else {
+        start_watch(now);
+    }
+}
+
+void server_list::start_read()
+{
+    source_.fetch([this, call = call_](const instance_list_result& result) {
+        if (call == call_) {
+            take_read(result);
+        }
+    });
+}
+
+void server_list::start_watch(steady_time now)
+{
+    is_watching_ = true;
+    watch_began_ = now;
+    auto wait = settings_.watch_wait;
+    if (!is_complete(registry_, now)) {
+        wait = std::min(wait, std::chrono::ceil<milliseconds>(registry_.complete_from - now));
     }
-    source_.watch(watched_to_, settings_.watch_wait,
-                  [this](const instance_watch_result& result) { take_watch(result); });
+    source_.watch(watched_to_, wait, [this, call = call_](const instance_watch_result& result) {
+        if (call == call_) {
+            take_watch(result);
+        }
+    });
+}
+
+/// A watch that began before its service failed may never end, or tell of entries that lapsed.
+bool server_list::is_watch_doubtful() const
+{
+    return source_.health().last_failure >= watch_began_;
+}
+
+void server_list::give_up_watch(steady_time now)
+{
+    ++call_;
+    is_calling_ = false;
+    is_watching_ = false;
+    needs_read_ = true;
+    next_call_ = now;
+    note_failure("another call of the service failed");
 }
 
 milliseconds server_list::retry_interval() const
@@ -86,7 +130,8 @@
     }
     note_success(now);
     watched_to_ = std::max(watched_to_, result.revision);
-    needs_read_ = !is_complete(registry_, now);
+    needs_read_ = false;
+    is_partial_ = !is_complete(registry_, now);
     if (apply_read(registry_, result.instances, result.revision, now)) {
         callbacks_.on_change();
     }
@@ -95,7 +140,12 @@
 void server_list::take_watch(const instance_watch_result& result)
 {
     const auto now = clock_.now();
+    if (is_watch_doubtful()) {
+        give_up_watch(now);
+        return;
+    }
     is_calling_ = false;
+    is_watching_ = false;
     if (result.status != watch_status::done) {
         needs_read_ = true;
         next_call_ = now;
@@ -108,11 +158,7 @@
     if (result.status == watch_status::history_gone) {
         return;
     }
-    watched_to_ = result.revision;
-    if (!is_complete(registry_, now)) {
-        needs_read_ = true;
-        return;
-    }
+    watched_to_ = std::max(watched_to_, result.revision);
     if (apply_changes(registry_, result.changes, now)) {
         callbacks_.on_change();
     }
@@ -121,7 +167,7 @@
 void server_list::note_success(steady_time now)
 {
     const bool is_first = !is_known();
-    const bool was_out = is_failing_ && now - last_success_ > settings_.outage_after;
+    const bool was_out = is_failing_ && now - last_answer_ > settings_.outage_after;
     // An instance that starts during an outage can't tell which entries have lapsed.
     if (is_first || was_out) {
         expect_returns(registry_, now);
@@ -136,6 +182,7 @@
 void server_list::note_failure(const std::string& cause)
 {
     if (!std::exchange(is_failing_, true)) {
+        last_answer_ = std::max(last_success_, source_.health().last_answer);
         log_event("fleet", log_level::warning, "server-list-lost",
                   {{"cause", cause}, {"revision", registry_.revision}});
     }
@@ -177,7 +224,8 @@
     }
     wire::server_list_reply reply;
     reply.revision = static_cast<std::int64_t>(registry_.revision);
-    reply.age_ms = std::chrono::duration_cast<milliseconds>(now - last_success_).count();
+    const auto known = std::max(last_success_, source_.health().last_answer);
+    reply.age_ms = std::chrono::duration_cast<milliseconds>(now - known).count();
     reply.unchanged = reply.revision == known_revision;
     if (!reply.unchanged) {
         for (const auto& it : present_replicas(registry_)) {
@@ -199,6 +247,7 @@
     }
     const milliseconds age{std::clamp<std::int64_t>(reply.age_ms, 0, max_age.count())};
     last_success_ = std::max(last_success_, now - age);
+    last_answer_ = std::max(last_answer_, last_success_);
     if (reply.unchanged) {
         return;
     }
--- a/src/fleet/server_list.h
+++ b/src/fleet/server_list.h
@@ -23,12 +23,12 @@
     std::chrono::milliseconds call_interval{500};
     /// Between two calls until the list was read once.
     std::chrono::milliseconds first_interval{200};
-    /// How long one watch waits. Shorter than the time in which entries lapse, so that an outage in
-    /// which they can lapse makes a watch fail.
-    std::chrono::milliseconds watch_wait{2000};
+    /// How long one watch waits.
+    std::chrono::milliseconds watch_wait{8000};
     /// Between two requests to other instances while calls fail.
     std::chrono::milliseconds peer_interval{500};
-    /// Calls that fail for this long are an outage, in which entries may have lapsed.
+    /// Without an answer of the list's service for this long there was an outage, in which entries
+    /// may have lapsed.
     std::chrono::milliseconds outage_after{1500};
 };
 
@@ -55,6 +55,10 @@
 
 private:
     void start_call(steady_time now);
+    void start_read();
+    void start_watch(steady_time now);
+    bool is_watch_doubtful() const;
+    void give_up_watch(steady_time now);
     void take_read(const instance_list_result& result);
     void take_watch(const instance_watch_result& result);
     void note_success(steady_time now);
@@ -70,10 +74,15 @@
     server_list_callbacks callbacks_;
     replica_registry registry_;
     std::uint64_t watched_to_ = 0; ///< revision that the next watch starts after
+    std::uint64_t call_ = 0;       ///< number of the latest call; others are given up
     bool is_calling_ = false;
-    bool needs_read_ = true; ///< else the list is watched
+    bool is_watching_ = false;
+    bool needs_read_ = true;  ///< else the list is watched
+    bool is_partial_ = false; ///< removals were left out since the last complete read
     bool is_failing_ = false;
+    steady_time watch_began_{};
     steady_time last_success_{}; ///< when the list was last known to be complete
+    steady_time last_answer_{};  ///< of the list's service, before its calls began to fail
     steady_time next_call_{};
     steady_time next_peer_request_{};
     std::size_t next_peer_ = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,8 +20,11 @@
 constexpr milliseconds metrics_interval{1'000};
 constexpr milliseconds prune_interval{1'000};
 constexpr milliseconds stop_check_interval{50};
-/// Until other instances are known, they are asked for this often.
+/// Until other instances are known, they are asked for this often, less and less.
 constexpr milliseconds first_poll_interval{200};
+constexpr milliseconds max_first_poll_interval{1'600};
+/// Instances that read the list of members at the interval of the settings.
+constexpr double small_fleet = 8;
 /// Instances that start together find each other in the list only after all have registered.
 constexpr milliseconds youth{3'000};
 /// Callers keep using the addresses that they were told for a while.
@@ -236,13 +239,6 @@
     node_.check_members();
     wait_for_signal();
     every(tick_interval, [this] { tick(); });
-    every(settings_.member_poll, [this] { poll_members(); });
-    every(first_poll_interval, [this] {
-        const bool is_young = clock_.now() - started_ < youth;
-        if (is_young || !node_.has_live_peer()) {
-            poll_members();
-        }
-    });
     every(prune_interval, [this] { connections_.prune(); });
     every(metrics_interval, [this] { update_metrics(); });
     log_event("gateway", log_level::info, "started",
@@ -257,6 +253,10 @@
     node_.tick(now);
     servers_.tick(now);
     registration_.tick(now);
+    if (now >= next_member_poll_) {
+        next_member_poll_ = now + member_interval();
+        poll_members();
+    }
     flush_log();
 }
 
@@ -276,6 +276,20 @@
     return out;
 }
 
+/// Until the next read of the members. Probing finds the others once one is known, so that the
+/// reads of all instances together need not grow with the fleet.
+milliseconds gateway::member_interval()
+{
+    const bool is_young = clock_.now() - started_ < youth;
+    if (is_young || !node_.has_live_peer()) {
+        first_poll_ = std::clamp(2 * first_poll_, first_poll_interval, max_first_poll_interval);
+        return first_poll_;
+    }
+    first_poll_ = milliseconds{0};
+    const auto fleets = static_cast<double>(node_.member_count()) / small_fleet;
+    return part_of(settings_.member_poll, std::max(1.0, fleets));
+}
+
 void gateway::poll_members()
 {
     if (std::exchange(is_polling_members_, true)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -59,6 +59,7 @@
     void on_servers();
     std::vector<std::string> live_peers() const;
     void poll_members();
+    std::chrono::milliseconds member_interval();
     void on_manifest();
     void reread_settings();
     void wait_for_signal();
@@ -91,7 +92,9 @@
     http_server metrics_server_;
     boost::asio::signal_set signals_;
     bool is_polling_members_ = false;
-    steady_time stop_began_{}; ///< epoch: no stop
+    steady_time next_member_poll_{};
+    std::chrono::milliseconds first_poll_{0}; ///< doubled by each poll without a live peer
+    steady_time stop_began_{};                ///< epoch: no stop
 };
 
 } // namespace almondline::gateway
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -26,6 +26,7 @@
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_buffer_size = 16 * 1024;
 constexpr std::uint32_t max_header_size = 16 * 1024;
+constexpr int unanswered_probes = 2;
 
 http::request<http::string_body> to_beast(const http_request& request, bool is_kept)
 {
@@ -190,6 +191,18 @@
     state_->stream.lower().socket().set_option(option, ec);
 }
 
+void http_connection::probe_when_idle(std::chrono::seconds interval)
+{
+    using asio::detail::socket_option::integer;
+    const int seconds = static_cast<int>(interval.count());
+    auto& socket = state_->stream.lower().socket();
+    boost::system::error_code ec;
+    socket.set_option(asio::socket_base::keep_alive{true}, ec);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>{seconds}, ec);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>{seconds}, ec);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>{unanswered_probes}, ec);
+}
+
 asio::awaitable<http_result> call_http(endpoint_text address, http_request request,
                                        http_timeouts timeouts, std::size_t max_body)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -69,6 +69,9 @@
     /// Unacknowledged bytes end the connection after this time, so that one that went silent is
     /// noticed. To be called after connect().
     void set_silence_limit(std::chrono::milliseconds limit);
+    /// Probes the connection while nothing is received, and ends it after two probes without an
+    /// answer. To be called after connect().
+    void probe_when_idle(std::chrono::seconds interval);
 
 private:
     struct state;
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -109,6 +109,9 @@
     if (!result.message.empty()) {
         co_return result;
     }
+    if (pool.limits().probe_interval.count() > 0) {
+        fresh.probe_when_idle(pool.limits().probe_interval);
+    }
     result = co_await call_over(fresh, request, timeouts, max_body);
     if (result.progress == http_progress::complete) {
         pool.put(server, std::move(fresh), result.response);
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -19,6 +19,9 @@
     double idle_share = 0.6;
     /// For servers that state no timeout.
     std::chrono::milliseconds unstated_idle{250};
+    /// Of call_pooled: idle connections are probed this often, also while a response is awaited. 0:
+    /// never.
+    std::chrono::seconds probe_interval{0};
 };
 
 /// Open connections without a request, by server. Used on one thread.
@@ -39,6 +42,7 @@
     /// Closes all connections to a server.
     void close_all(const std::string& server) { idle_.erase(server); }
 
+    const connection_pool_limits& limits() const { return limits_; }
     std::size_t size() const;
     std::uint64_t reused() const { return reused_; }
 
--- a/src/store/instance_list.h
+++ b/src/store/instance_list.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "store/types/store_health.h"
 #include "store/types/watch_status.h"
 
 #include <chrono>
@@ -72,6 +73,8 @@
     /// control thread, exactly once, never from within the call.
     virtual void watch(std::uint64_t after_revision, std::chrono::milliseconds wait,
                        watch_handler done) = 0;
+    /// Of the service that holds the list.
+    virtual store_health health() const = 0;
 };
 
 } // namespace almondline
--- a/src/store/key_range.h
+++ b/src/store/key_range.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "store/types/store_health.h"
 #include "store/types/watch_status.h"
 
 #include <chrono>
@@ -47,6 +48,8 @@
     /// Waits for changes after the revision, or until the time has passed. Handler as above.
     virtual void watch_range(const std::string& prefix, std::uint64_t after_revision,
                              std::chrono::milliseconds wait, range_watch_handler handler) = 0;
+    /// Latest calls of any kind that the service answered, and that it did not.
+    virtual store_health health() const = 0;
 
 protected:
     key_range_reader() = default;
