--- a/src/granting/pools.cpp
+++ b/src/granting/pools.cpp
@@ -104,17 +104,20 @@
 {
     const auto before = allowances_.buckets;
     scheduling::reconfigure(allowances_, manifest_->accounts, clock_.now());
+    if (granters_.empty()) {
+        return;
+    }
     for (const auto& [account, bucket] : allowances_.buckets) {
         const auto known = before.find(account);
-        if (known != before.end() && known->second.rate == bucket.rate &&
-            known->second.capacity == bucket.capacity) {
-            continue;
+        const bool is_same = known != before.end() && known->second.rate == bucket.rate &&
+                             known->second.capacity == bucket.capacity;
+        if (!is_same) {
+            log_event("granting", log_level::info, "allowance-changed",
+                      {{"account", account},
+                       {"tokens_per_s", bucket.rate},
+                       {"capacity", bucket.capacity},
+                       {"manifest", manifest_->version}});
         }
-        log_event("granting", log_level::info, "allowance-changed",
-                  {{"account", account},
-                   {"tokens_per_s", bucket.rate},
-                   {"capacity", bucket.capacity},
-                   {"manifest", manifest_->version}});
     }
 }
 
