Take an allowance's tokens when a request runs, not when it begins to wait

Requests that waited ran later, together with others whose tokens had been refilled meanwhile.

An ask reserves tokens, its grant takes them. Tests: waiting requests in allowance_test, failing before; recovery_property_test still holds.

--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -4,6 +4,7 @@
 #include "granting/internal/messages.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondline::granting {
 
@@ -34,14 +35,23 @@
     table.config = settings.routing;
 }
 
-bool granter_core::charge_allowance(const scheduling::ask& what, steady_time now)
+granter_core::~granter_core()
+{
+    for (const auto& [id, charge] : charged_) {
+        if (!charge.is_spent) {
+            scheduling::cancel_reservation(*allowances_, charge.account, charge.tokens);
+        }
+    }
+}
+
+bool granter_core::reserve_allowance(const scheduling::ask& what, steady_time now)
 {
     if (allowances_ == nullptr || what.allowance_cost <= 0 || charged_.contains(what.request_id)) {
         return true;
     }
-    const auto wait = scheduling::charge(*allowances_, what.account, what.allowance_cost, now);
+    const auto wait = scheduling::reserve(*allowances_, what.account, what.allowance_cost, now);
     if (!wait) {
-        charged_[what.request_id] = {what.account, what.allowance_cost};
+        charged_[what.request_id] = {what.account, what.allowance_cost, false};
         return true;
     }
     refuse(what,
@@ -51,14 +61,26 @@
     return false;
 }
 
+void granter_core::spend_allowance(const std::string& request_id, steady_time now)
+{
+    const auto it = charged_.find(request_id);
+    if (it != charged_.end() && !std::exchange(it->second.is_spent, true)) {
+        scheduling::spend(*allowances_, it->second.account, it->second.tokens, now);
+    }
+}
+
 void granter_core::settle_allowance(const std::string& request_id, bool is_run, steady_time now)
 {
     const auto it = charged_.find(request_id);
     if (it == charged_.end()) {
         return;
     }
-    if (!is_run) {
-        scheduling::refund(*allowances_, it->second.account, it->second.tokens, now);
+    const auto& charge = it->second;
+    if (!charge.is_spent) {
+        scheduling::cancel_reservation(*allowances_, charge.account, charge.tokens);
+    }
+    else if (!is_run) {
+        scheduling::refund(*allowances_, charge.account, charge.tokens, now);
     }
     charged_.erase(it);
 }
@@ -150,6 +172,7 @@
                          const routing::choice& chosen, steady_time now)
 {
     passed_since_.erase(what.request_id);
+    spend_allowance(what.request_id, now);
     routing::on_dispatch(table, chosen.id, shape, now);
     issued_credit entry;
     entry.what = {
--- a/src/granting/internal/granter_core.h
+++ b/src/granting/internal/granter_core.h
@@ -24,6 +24,9 @@
     granter_core(granter_settings settings, scheduling::queue_config config,
                  const clock_source& clock, peer_sender& sender, decision_log& decisions,
                  failure_domain_lookup lookup, scheduling::allowance_book* allowances);
+    ~granter_core();
+    granter_core(const granter_core&) = delete;
+    granter_core& operator=(const granter_core&) = delete;
 
     void handle_ask(const std::string& from, const wire::ask_message& message, steady_time now);
     void handle_confirmation(const std::string& from, const wire::confirm_message& message,
@@ -60,8 +63,10 @@
 
 private:
     scheduling::slot_view slots_at(steady_time now) const;
-    /// Counts an ask against its account's allowance, once. Returns false if it was refused.
-    bool charge_allowance(const scheduling::ask& what, steady_time now);
+    /// Reserves the tokens of an ask in its account's allowance, once. Returns false if it was
+    /// refused.
+    bool reserve_allowance(const scheduling::ask& what, steady_time now);
+    void spend_allowance(const std::string& request_id, steady_time now);
     /// Ends the count of a request. Tokens of one that was not run are given back.
     void settle_allowance(const std::string& request_id, bool is_run, steady_time now);
     void issue(const scheduling::ask& what, const routing::request_shape& shape,
@@ -80,10 +85,11 @@
     bool is_bypass_over(const scheduling::ask& what, steady_time now);
     bool lacks_backends(steady_time now) const;
 
-    /// Tokens that a request was charged.
+    /// Tokens that a request has reserved or spent.
     struct allowance_charge {
         std::string account;
         double tokens = 0;
+        bool is_spent = false;
     };
 
     peer_sender& sender_;
--- a/src/granting/internal/granter_messages.cpp
+++ b/src/granting/internal/granter_messages.cpp
@@ -33,7 +33,7 @@
                "refusal");
         return;
     }
-    if (!charge_allowance(what, now)) {
+    if (!reserve_allowance(what, now)) {
         return;
     }
     auto result = scheduling::enqueue(queue, what, slots_at(now), now);
--- a/src/scheduling/allowance.cpp
+++ b/src/scheduling/allowance.cpp
@@ -60,8 +60,8 @@
     book.share = std::clamp(share, 0.0, 1.0);
 }
 
-std::optional<std::chrono::milliseconds> charge(allowance_book& book, const std::string& account,
-                                                double tokens, steady_time now)
+std::optional<std::chrono::milliseconds> reserve(allowance_book& book, const std::string& account,
+                                                 double tokens, steady_time now)
 {
     const auto it = book.buckets.find(account);
     if (it == book.buckets.end()) {
@@ -70,15 +70,35 @@
     auto& bucket = it->second;
     refill(book, bucket, now);
     const double needed = std::min(tokens, bucket.capacity * book.share);
-    if (bucket.tokens >= needed) {
-        bucket.tokens -= tokens;
+    const double left = bucket.tokens - bucket.reserved;
+    if (left >= needed) {
+        bucket.reserved += tokens;
         return std::nullopt;
     }
     const double rate = std::max(min_rate, bucket.rate * book.share);
-    const double seconds = std::min((needed - bucket.tokens) / rate, 3600.0);
+    const double seconds = std::min((needed - left) / rate, 3600.0);
     return std::chrono::milliseconds{static_cast<std::int64_t>(std::ceil(seconds * 1000))};
 }
 
+void cancel_reservation(allowance_book& book, const std::string& account, double tokens)
+{
+    const auto it = book.buckets.find(account);
+    if (it != book.buckets.end()) {
+        it->second.reserved = std::max(0.0, it->second.reserved - tokens);
+    }
+}
+
+void spend(allowance_book& book, const std::string& account, double tokens, steady_time now)
+{
+    const auto it = book.buckets.find(account);
+    if (it == book.buckets.end()) {
+        return;
+    }
+    refill(book, it->second, now);
+    cancel_reservation(book, account, tokens);
+    it->second.tokens -= tokens;
+}
+
 void refund(allowance_book& book, const std::string& account, double tokens, steady_time now)
 {
     const auto it = book.buckets.find(account);
--- a/src/scheduling/allowance.h
+++ b/src/scheduling/allowance.h
@@ -30,6 +30,7 @@
     double rate = 0;     ///< tokens per second
     double capacity = 0; ///< tokens
     double tokens = 0;   ///< left; below 0 after a request larger than the bucket
+    double reserved = 0; ///< of these, for requests that wait for a backend server
     steady_time updated{};
 };
 
@@ -48,13 +49,20 @@
 /// Changes the part of the allowances that the book gives out.
 void set_share(allowance_book& book, double share, steady_time now);
 
-/// Takes tokens from an account, and returns nothing. If it has too few left, it returns the time
-/// after which they would suffice, and takes none. A request larger than a whole bucket is let
-/// through when the bucket is full.
-std::optional<std::chrono::milliseconds> charge(allowance_book& book, const std::string& account,
-                                                double tokens, steady_time now);
+/// Reserves tokens of an account for a request that is to wait, and returns nothing. If it has too
+/// few left, it returns the time after which they would suffice, and reserves none. A request
+/// larger than a whole bucket is let through when the bucket is full.
+std::optional<std::chrono::milliseconds> reserve(allowance_book& book, const std::string& account,
+                                                 double tokens, steady_time now);
 
-/// Returns tokens of a request that was not run.
+/// Ends a reservation of a request that will not run.
+void cancel_reservation(allowance_book& book, const std::string& account, double tokens);
+
+/// Takes reserved tokens, as their request goes to a backend server. Requests that waited arrive
+/// together: taken earlier, their tokens would be refilled by then.
+void spend(allowance_book& book, const std::string& account, double tokens, steady_time now);
+
+/// Returns tokens of a request that was sent and not run.
 void refund(allowance_book& book, const std::string& account, double tokens, steady_time now);
 
 } // namespace almondline::scheduling
--- a/src/scheduling/tests/allowance_test.cpp
+++ b/src/scheduling/tests/allowance_test.cpp
@@ -24,7 +24,14 @@
         reconfigure(book, {limited_account(100, 200)}, clock.now());
     }
 
-    bool take(double tokens) { return !charge(book, "a", tokens, clock.now()); }
+    bool take(double tokens)
+    {
+        const bool is_granted = !reserve(book, "a", tokens, clock.now());
+        if (is_granted) {
+            spend(book, "a", tokens, clock.now());
+        }
+        return is_granted;
+    }
 
     manual_clock clock;
     allowance_book book;
@@ -46,7 +53,7 @@
     f.clock.advance(10s);
     CHECK(f.take(150));
     CHECK(f.take(50));
-    const auto wait = charge(f.book, "a", 25, f.clock.now());
+    const auto wait = reserve(f.book, "a", 25, f.clock.now());
     REQUIRE(wait);
     CHECK(*wait == 250ms);
     f.clock.advance(250ms);
@@ -62,6 +69,31 @@
     CHECK(f.take(100));
 }
 
+// On shelfmark-grown (trouble-3) 1 in 100 tokens too many ran in one window: they were taken when
+// requests began to wait, and the bucket was refilled by the time they ran.
+TEST_CASE("tokens of requests that wait are taken when these run")
+{
+    fixture f;
+    f.clock.advance(10s);
+    CHECK_FALSE(reserve(f.book, "a", 150, f.clock.now()));
+    CHECK_FALSE(f.take(60));
+    CHECK(f.take(50));
+    f.clock.advance(1s);
+    spend(f.book, "a", 150, f.clock.now());
+    CHECK_FALSE(f.take(101)); // 200 - 50, refilled to 200 at most, less 150
+    CHECK(f.take(50));
+    CHECK_FALSE(f.take(1));
+}
+
+TEST_CASE("a reservation of a request that does not run is given back")
+{
+    fixture f;
+    CHECK_FALSE(reserve(f.book, "a", 100, f.clock.now()));
+    CHECK_FALSE(f.take(1));
+    cancel_reservation(f.book, "a", 100);
+    CHECK(f.take(100));
+}
+
 // Without the exception, a request larger than the bucket would be refused for ever.
 TEST_CASE("a request larger than the bucket passes when the bucket is full")
 {
@@ -127,5 +159,5 @@
     fixture f;
     reconfigure(f.book, {limited_account(0, 0)}, f.clock.now());
     CHECK(f.take(1e9));
-    CHECK_FALSE(charge(f.book, "unknown", 1e9, f.clock.now()));
+    CHECK_FALSE(reserve(f.book, "unknown", 1e9, f.clock.now()));
 }
