--- a/src/scheduling/types/ask.h
+++ b/src/scheduling/types/ask.h
@@ -30,7 +30,7 @@
     std::vector<std::uint64_t> prefix_blocks;       ///< chained hashes of the prompt's blocks
     /// Prompt tokens up to the end of each block. Empty: all blocks are of one size.
     std::vector<std::int32_t> prefix_tokens;
-    std::vector<std::string> excluded;              ///< backend servers not to be offered again
+    std::vector<std::string> excluded; ///< backend servers not to be offered again
 };
 
 } // namespace almondline::scheduling
