--- a/src/granting/tests/recovery_property_test.cpp
+++ b/src/granting/tests/recovery_property_test.cpp
@@ -111,10 +111,10 @@
         CAPTURE(seed);
         history it{static_cast<std::uint64_t>(seed)};
         it.play();
-        for (const auto& [id, record] : it.c.records) {
-            CAPTURE(id);
-            REQUIRE(record.answers <= 1);
-            REQUIRE(record.dispatches <= 1);
+        for (const auto& entry : it.c.records) {
+            CAPTURE(entry.first);
+            REQUIRE(entry.second.answers <= 1);
+            REQUIRE(entry.second.dispatches <= 1);
         }
         const auto& limited = it.c.accounts.front();
         const auto& limits = it.c.allowance_limits;
