Forget servers that left also while their list is watched

Cause: the registry pruned servers that left a minute ago in reads only. Since the list is watched instead of read, a process reads it once, so its registry grew with every server that was replaced.

The pruning is a step of its own after reads and changes. The new test fails before.

--- a/src/fleet/replica_registry.cpp
+++ b/src/fleet/replica_registry.cpp
@@ -61,10 +61,14 @@
         mark_gone(it, now);
         is_changed = true;
     }
+    return is_changed;
+}
+
+void forget_gone(replica_registry& registry, steady_time now)
+{
     std::erase_if(registry.replicas, [&](const auto& it) {
         return it.second.is_gone && now - it.second.since > registry.settings.forget_after;
     });
-    return is_changed;
 }
 
 } // namespace
@@ -85,6 +89,7 @@
     if (is_complete(registry, now)) {
         is_changed = remove_missing(registry, listed, now) || is_changed;
     }
+    forget_gone(registry, now);
     return is_changed;
 }
 
@@ -108,6 +113,7 @@
             is_changed = true;
         }
     }
+    forget_gone(registry, now);
     return is_changed;
 }
 
--- a/src/fleet/tests/replica_registry_test.cpp
+++ b/src/fleet/tests/replica_registry_test.cpp
@@ -97,6 +97,21 @@
     CHECK(f.is_usable("c"));
 }
 
+// A list that is watched is read once only; its registry kept every server that ever left.
+TEST_CASE("a server that left is forgotten after a while, also if the list is only watched")
+{
+    fixture f;
+    f.read({server("a"), server("b")});
+    apply_changes(f.registry, {{"a", ++f.revision, std::nullopt}}, f.clock.now());
+    f.clock.advance(59s);
+    apply_changes(f.registry, {}, f.clock.now());
+    CHECK(f.registry.replicas.contains("a"));
+    f.clock.advance(2s);
+    apply_changes(f.registry, {}, f.clock.now());
+    CHECK_FALSE(f.registry.replicas.contains("a"));
+    CHECK(f.is_usable("b"));
+}
+
 TEST_CASE("a server that starts again under its id is a new one")
 {
     fixture f;
