--- a/src/common/json.cpp
+++ b/src/common/json.cpp
@@ -89,6 +89,12 @@
     return it == nullptr ? nullptr : it->if_array();
 }
 
+const boost::json::value* find_object(const boost::json::value& object, std::string_view key)
+{
+    const auto* it = find_member(object, key);
+    return it != nullptr && it->is_object() ? it : nullptr;
+}
+
 std::string string_or(const boost::json::value& object, std::string_view key,
                       std::string_view fallback)
 {
--- a/src/common/json.h
+++ b/src/common/json.h
@@ -22,6 +22,9 @@
 /// Array member of an object, nullptr if it is missing or of another type.
 const boost::json::array* find_array(const boost::json::value& object, std::string_view key);
 
+/// Member of an object that is an object itself, nullptr if it is missing or of another type.
+const boost::json::value* find_object(const boost::json::value& object, std::string_view key);
+
 /// String member of an object, or the fallback if it is missing or of another type.
 std::string string_or(const boost::json::value& object, std::string_view key,
                       std::string_view fallback = {});
--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -187,6 +187,13 @@
     return true;
 }
 
+std::string to_string(const endpoint_text& value)
+{
+    const bool is_v6 = value.host.find(':') != value.host.npos;
+    const auto host = is_v6 ? "[" + value.host + "]" : value.host;
+    return host + ":" + std::to_string(value.port);
+}
+
 boost::leaf::result<settings> parse_settings(const std::string& content, const std::string& path,
                                              const std::vector<setting_spec>& spec)
 {
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -69,6 +69,9 @@
 /// Splits "IP:PORT" or "[IPv6]:PORT". Returns false if the host is not an IP number.
 bool parse_endpoint(std::string_view text, endpoint_text& value);
 
+/// "IP:PORT" or "[IPv6]:PORT", as parse_endpoint() reads it.
+std::string to_string(const endpoint_text& value);
+
 /// Reference of the known keys in Markdown, a table row each.
 std::string describe_settings(const std::vector<setting_spec>& spec);
 
--- a/src/common/tests/settings_test.cpp
+++ b/src/common/tests/settings_test.cpp
@@ -64,3 +64,13 @@
     CHECK(values->list("store.addresses") ==
           std::vector<std::string>{"127.0.0.1:1", "127.0.0.1:2"});
 }
+
+// An IPv6 address without brackets can't be split again: callers could not use it.
+TEST_CASE("an endpoint that is written out is read as the same one")
+{
+    for (const auto* text : {"127.0.0.1:80", "[2001:db8::1]:8221"}) {
+        endpoint_text value;
+        REQUIRE(parse_endpoint(text, value));
+        CHECK(to_string(value) == text);
+    }
+}
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -108,11 +108,17 @@
 bool node::may_own() const
 {
     const auto now = clock_.now();
+    const bool is_alone_over = now >= may_own_alone_from_;
+    const bool is_partly_over = now >= may_own_partly_from_;
+    // Runs with each tick; the counts walk all members and matter only after a start.
+    if (is_alone_over && is_partly_over) {
+        return true;
+    }
     const auto listed = members.listed_count();
     if (listed == 0) {
-        return now >= may_own_alone_from_;
+        return is_alone_over;
     }
-    return 2 * members.listed_alive_count() >= listed || now >= may_own_partly_from_;
+    return is_partly_over || 2 * members.listed_alive_count() >= listed;
 }
 
 std::vector<membership::member> node::granter_candidates() const
--- a/src/granting/pools.cpp
+++ b/src/granting/pools.cpp
@@ -104,9 +104,6 @@
 {
     const auto before = allowances_.buckets;
     scheduling::reconfigure(allowances_, manifest_->accounts, clock_.now());
-    if (granters_.empty()) {
-        return;
-    }
     for (const auto& [account, bucket] : allowances_.buckets) {
         const auto known = before.find(account);
         const bool is_same = known != before.end() && known->second.rate == bucket.rate &&
@@ -126,7 +123,10 @@
     manifest_ = std::move(content);
     std::erase_if(granters_,
                   [&](const auto& it) { return find_service(*manifest_, it.first) == nullptr; });
-    update_allowances();
+    // An instance without pools fills its book when it gets the first one.
+    if (!granters_.empty()) {
+        update_allowances();
+    }
     for (auto& [name, granter] : granters_) {
         const auto* service = find_service(*manifest_, name);
         granter->reconfigure(make_config(*service));
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -24,11 +24,6 @@
     return std::chrono::seconds{std::max(0, seconds)};
 }
 
-std::string key_of(const endpoint_text& address)
-{
-    return address.host + ":" + std::to_string(address.port);
-}
-
 } // namespace
 
 std::optional<http_connection> connection_pool::take(const std::string& server)
@@ -89,7 +84,7 @@
                                          http_request request, http_timeouts timeouts,
                                          std::size_t max_body, bool may_repeat)
 {
-    const auto server = key_of(address);
+    const auto server = to_string(address);
     if (auto kept = pool.take(server)) {
         auto result = co_await call_over(*kept, request, timeouts, max_body);
         if (result.progress == http_progress::complete) {
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -73,12 +73,16 @@
     for (auto& [id, it] : records_) {
         it.is_listed = false;
     }
+    const auto latest = latest_by_address(instances);
     for (const auto& it : instances) {
         if (it.role != instance_role::entry) {
             continue;
         }
         if (it.id != self_.id) {
-            list_member(it, is_address_taken(it, instances), now);
+            const bool is_replaced =
+                !it.peer_address.empty() && (it.peer_address == self_.peer_address ||
+                                             latest.at(it.peer_address) > it.incarnation);
+            list_member(it, is_replaced, now);
         }
         else if (it.is_leaving) {
             set_leaving(now);
@@ -196,23 +200,22 @@
     }
 }
 
-/// True if a later process, known or in the same list, has the address.
-bool member_table::is_address_taken(const listed_instance& candidate,
-                                    const std::vector<listed_instance>& instances) const
+/// Incarnation of the latest process at each peer address, of the list and of the known members.
+std::unordered_map<std::string, std::int64_t>
+member_table::latest_by_address(const std::vector<listed_instance>& instances) const
 {
-    const auto& address = candidate.peer_address;
-    if (address.empty()) {
-        return false;
-    }
-    const bool is_later_listed =
-        std::any_of(instances.begin(), instances.end(), [&](const auto& it) {
-            return it.peer_address == address && it.incarnation > candidate.incarnation;
-        });
-    const bool is_known = std::any_of(records_.begin(), records_.end(), [&](const auto& it) {
-        return it.second.info.incarnation > candidate.incarnation &&
-               it.second.info.peer_address == address;
-    });
-    return address == self_.peer_address || is_later_listed || is_known;
+    std::unordered_map<std::string, std::int64_t> latest;
+    const auto add = [&](const std::string& address, std::int64_t incarnation) {
+        auto& known = latest[address];
+        known = std::max(known, incarnation);
+    };
+    for (const auto& it : instances) {
+        add(it.peer_address, it.incarnation);
+    }
+    for (const auto& [id, it] : records_) {
+        add(it.info.peer_address, it.info.incarnation);
+    }
+    return latest;
 }
 
 std::size_t member_table::listed_count() const
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -148,8 +148,8 @@
     void set_status(record& target, member_status status, steady_time now);
     void retire_predecessors(record& added, steady_time now);
     void retire(record& of, steady_time now);
-    bool is_address_taken(const listed_instance& candidate,
-                          const std::vector<listed_instance>& instances) const;
+    std::unordered_map<std::string, std::int64_t>
+    latest_by_address(const std::vector<listed_instance>& instances) const;
     void count_in_domain(const record& counted, int step);
     void list_member(const listed_instance& it, bool is_replaced, steady_time now);
     void forget_members(steady_time now);
--- a/src/scheduling/allowance.h
+++ b/src/scheduling/allowance.h
@@ -18,7 +18,7 @@
     double slack = 0;
     std::chrono::milliseconds window{8'000};
     /// Parts of the excess that the refill and the bucket give out. The rest covers requests that
-    /// are counted when they ask for a credit and reach a server later, and changes of the granter.
+    /// reach a server some time after their credit, and changes of the granter.
     double refill_part = 0.35;
     double bucket_part = 0.25;
     /// Share of the burst that a new book starts with. The book of the granter before may have
