Read the request rate that backend servers name, and log it

A response without a rate ends the rate only if its request was sent after the rate was named: responses may arrive out of order. Late responses to other requests and unusable ones end none.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -150,10 +150,9 @@
         if (!error.empty()) {
             co_return error;
         }
-        const auto notice = context_.protocol.read_notice(response_);
-        is_server_leaving_ = is_server_leaving_ || notice.is_leaving;
-        context_.on_notice(credit_.backend_id, notice);
-        if (context_.protocol.classify(call_, response_) != reply_kind::mismatched) {
+        const auto kind = context_.protocol.classify(call_, response_);
+        handle_notice(context_.protocol.read_notice(response_), kind);
+        if (kind != reply_kind::mismatched) {
             co_return std::string{};
         }
         std::size_t skipped = 0;
@@ -171,6 +170,18 @@
     co_return "received only responses to other requests";
 }
 
+void request_flow::handle_notice(const server_notice& notice, reply_kind kind)
+{
+    is_server_leaving_ = is_server_leaving_ || notice.is_leaving;
+    context_.on_notice(credit_.backend_id, notice);
+    // Only a usable response to this request shows that the server no longer names a rate.
+    const bool is_own_response = kind != reply_kind::mismatched && kind != reply_kind::invalid;
+    if (is_own_response || notice.max_request_rate) {
+        context_.credits.note_server(call_.attempt_id,
+                                     {notice.is_leaving, notice.max_request_rate});
+    }
+}
+
 asio::awaitable<void> request_flow::handle_response()
 {
     const auto kind = context_.protocol.classify(call_, response_);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -40,6 +40,8 @@
     read_header_and_stop_writing(std::chrono::milliseconds response_timeout);
     boost::asio::awaitable<std::string>
     read_matching_header(std::chrono::milliseconds response_timeout);
+    /// Passes on what the server of this attempt reports about itself in a response header.
+    void handle_notice(const server_notice& notice, reply_kind kind);
     boost::asio::awaitable<void> handle_response();
     boost::asio::awaitable<void> read_body(std::chrono::milliseconds response_timeout);
     boost::asio::awaitable<void> relay_events();
--- a/src/gateway/types/call.h
+++ b/src/gateway/types/call.h
@@ -45,6 +45,8 @@
     bool is_leaving = false; ///< it stops soon and accepts no new requests
     /// Time for which this instance should send it no requests; zero if it reported none.
     std::chrono::milliseconds backoff_for{0};
+    /// Requests per second that it accepts from all instances together; empty if it reported none.
+    std::optional<double> max_request_rate;
 };
 
 enum class reply_kind {
--- a/src/granting/credit_client.cpp
+++ b/src/granting/credit_client.cpp
@@ -62,6 +62,7 @@
         return false;
     }
     it->second.is_confirmed = true;
+    it->second.confirmed_at = now;
     const auto credit = it->second;
     const auto due = credit.granted.expires - state_->settings.confirm_before_expiry;
     if (state_->settings.confirm_before_expiry.count() > 0 && now < due) {
@@ -94,6 +95,14 @@
     state_->send_to_granters(credit, make_release_message(credit.granted, report));
 }
 
+void credit_client::note_server(const std::string& request_id, const server_report& report)
+{
+    const auto it = state_->held.find(request_id);
+    if (it != state_->held.end()) {
+        state_->note_rate(it->second, report.max_request_rate, state_->clock.now());
+    }
+}
+
 bool credit_client::cancel(const std::string& request_id)
 {
     const auto entry = state_->remove_pending(request_id);
@@ -140,6 +149,11 @@
     return state_->held.size();
 }
 
+std::size_t credit_client::named_rate_count() const
+{
+    return state_->rates.size();
+}
+
 const credit_client_counters& credit_client::counters() const
 {
     return state_->counters;
--- a/src/granting/credit_client.h
+++ b/src/granting/credit_client.h
@@ -46,6 +46,10 @@
     /// received.
     void release(const std::string& request_id, const release_report& report);
 
+    /// Records what the backend server of a credit reports in the header of its response. Must be
+    /// called when the header arrives. Ignored if the request holds no credit.
+    void note_server(const std::string& request_id, const server_report& report);
+
     /// Withdraws a waiting request; its handler will not be called. Returns false if the request
     /// was already answered.
     bool cancel(const std::string& request_id);
@@ -63,6 +67,8 @@
 
     std::size_t waiting_count() const;
     std::size_t held_count() const;
+    /// Returns the number of backend servers whose request rate this instance knows.
+    std::size_t named_rate_count() const;
     const credit_client_counters& counters() const;
 
 private:
--- a/src/granting/internal/credit_client_state.cpp
+++ b/src/granting/internal/credit_client_state.cpp
@@ -1,5 +1,8 @@
 #include "granting/internal/credit_client_state.h"
 
+#include "common/log.h"
+#include "routing/request_rate.h"
+
 #include <algorithm>
 
 namespace almondline::granting {
@@ -286,6 +289,33 @@
     }
 }
 
+void credit_client::state::note_rate(const held_credit& credit, std::optional<double> per_second,
+                                     steady_time now)
+{
+    const auto& backend = credit.granted.backend_id;
+    const auto known = rates.find(backend);
+    std::optional<routing::named_rate> rate;
+    if (known != rates.end()) {
+        rate = known->second;
+    }
+    counters.named_rates += per_second ? 1 : 0;
+    const bool is_changed = routing::update_rate(rate, per_second, credit.confirmed_at, now);
+    if (rate) {
+        rates[backend] = *rate;
+    }
+    else {
+        rates.erase(backend);
+    }
+    if (is_changed) {
+        log_event("granting", log_level::info, "server-rate",
+                  {{"backend", backend},
+                   {"pool", credit.granted.pool},
+                   {"state", rate ? "named" : "ended"},
+                   {"requests_per_s", per_second.value_or(0)},
+                   {"granter", credit.granter}});
+    }
+}
+
 void credit_client::state::remove_pool_if_unused(const std::string& pool)
 {
     const auto it = pools.find(pool);
--- a/src/granting/internal/credit_client_state.h
+++ b/src/granting/internal/credit_client_state.h
@@ -2,6 +2,7 @@
 
 #include "granting/credit_client.h"
 #include "granting/internal/messages.h"
+#include "routing/types/named_rate.h"
 
 #include <deque>
 #include <map>
@@ -30,6 +31,7 @@
     std::string granter;
     scheduling::credit_request request;
     bool is_confirmed = false;
+    steady_time confirmed_at{};
 };
 
 /// Requests and credits of this instance at one pool.
@@ -68,6 +70,8 @@
     /// Sends to the granter of a credit, and to the pool's current owner if it is another instance.
     void send_to_granters(const held_credit& held, const wire::envelope& message);
     void remove_pool_if_unused(const std::string& pool);
+    /// Records the request rate that the backend server of a credit reports, if any.
+    void note_rate(const held_credit& credit, std::optional<double> per_second, steady_time now);
 
     credit_client_settings settings;
     const clock_source& clock;
@@ -78,6 +82,7 @@
     std::unordered_map<std::string, pending_request> pending;
     std::unordered_map<std::string, held_credit> held;
     std::map<std::string, pool_view> pools;
+    std::map<std::string, routing::named_rate> rates; ///< by id of the backend server
     // Request ids by the time at which the action is due.
     std::set<std::pair<steady_time, std::string>> by_resend;
     std::set<std::pair<steady_time, std::string>> by_deadline;
--- a/src/granting/types/credit.h
+++ b/src/granting/types/credit.h
@@ -52,6 +52,13 @@
     bool is_server_leaving = false; ///< announced by the backend server in its response
 };
 
+/// State that a backend server reports about itself in the header of a response.
+struct server_report {
+    bool is_leaving = false;
+    /// Requests per second that it accepts from all instances together; empty if it reports none.
+    std::optional<double> max_request_rate = std::nullopt;
+};
+
 /// Refusal codes used by the granter and the credit client, in addition to those of the queue.
 inline constexpr std::string_view code_no_backend = "no-backend"; ///< no usable backend server
 inline constexpr std::string_view code_no_granter = "no-granter"; ///< the pool has no owner
