--- /dev/null
+++ b/tests/platform/server_rate_test.py
@@ -0,0 +1,100 @@
+"""Tests that gateways keep their requests to a replica within the rate that it names."""
+
+import sys
+import threading
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from gateway_fleet import GatewayFleet  # noqa: E402
+
+GATEWAYS = 3
+CALLERS = 6
+WINDOW = 4.0              # seconds in which arrivals are counted
+EXCESS = 1.5              # share of the rate that may arrive in a window
+EXTRA = 5                 # requests beyond that share
+
+
+class Arrivals:
+    """Times of the requests that reached a replica which names a rate in its responses."""
+
+    def __init__(self, replica, rate):
+        self.replica = replica
+        self.rate = rate
+        self.is_named = True
+        self.times = []
+        replica.behaviour = self.answer
+
+    def answer(self, handler):
+        self.times.append(time.monotonic())
+        fields = [("Almondline-Server-Seal", "s")]
+        if self.is_named:
+            fields.append(("Server-Limit", str(self.rate)))
+        handler.answer(200, b"ran", fields)
+        return True
+
+    def most_in_a_window(self, begin):
+        times = [it for it in self.times if it >= begin]
+        return max((sum(1 for it in times if first <= it < first + WINDOW) for first in times),
+                   default=0)
+
+    def allowed(self):
+        return EXCESS * self.rate * WINDOW + EXTRA
+
+
+class Load:
+    """Callers that send lookups to all gateways until the end of a `with` block."""
+
+    def __init__(self, fleet, pause):
+        self.fleet = fleet
+        self.pause = pause
+        self.is_over = threading.Event()
+        self.answers = []
+        self.threads = [threading.Thread(target=self.call, args=(n,)) for n in range(CALLERS)]
+
+    def __enter__(self):
+        for it in self.threads:
+            it.start()
+        return self
+
+    def __exit__(self, *_details):
+        self.is_over.set()
+        for it in self.threads:
+            it.join()
+
+    def call(self, number):
+        count = 0
+        while not self.is_over.is_set():
+            count += 1
+            gateway = (number + count) % GATEWAYS
+            fields = {"Almondline-Attempt-Id": f"load-{number}-{count}"}
+            begin = time.monotonic()
+            try:
+                answer = self.fleet.request("/look/1", "GET", None, gateway=gateway,
+                                            headers=fields)
+                self.answers.append((time.monotonic() - begin, answer))
+            except OSError:
+                pass  # a test may have killed this gateway
+            time.sleep(self.pause)
+
+
+class ServerRateTest(unittest.TestCase):
+    def test_replicas_get_no_more_requests_than_the_rate_they_name(self):
+        # Replicas that named a rate were chosen as if they had not.
+        with GatewayFleet(GATEWAYS) as fleet:
+            arrivals = [Arrivals(fleet.replicas["desk-0"], 3.0)]
+            with Load(fleet, pause=0.05) as load:
+                time.sleep(1)
+                begin = time.monotonic()
+                time.sleep(5.5)
+            for it in arrivals:
+                self.assertLessEqual(it.most_in_a_window(begin), it.allowed())
+                self.assertGreaterEqual(it.most_in_a_window(begin), it.rate * WINDOW / 2)
+            # The other replica has room for all others.
+            self.assertEqual({answer.status for _, answer in load.answers}, {200})
+
+
+if __name__ == "__main__":
+    unittest.main()
