Keep requests to a backend server within the rate that it names

The granter chose servers by free slots, and a server with seven slots and short requests takes far more than it asked for. Class of fault: a limit that a server sets for the whole fleet, which no instance can keep alone, had no owner.

Change: the holder reports the rate to the granter when the response header arrives, in a message of its own, because the release comes at the end of a stream. The granter keeps a token bucket for each limited server. A rate ends with a response to a request whose credit was issued after the rate was last named; both times are the granter's own. A grant says that its server is limited, so that holders which have not seen the rate report its end. The queue's forecast counts the rate: callers whose requests can't start in time are refused at once.

--- a/src/granting/credit_client.cpp
+++ b/src/granting/credit_client.cpp
@@ -38,10 +38,16 @@
                         "no entry instance owns the pool", no_granter_retry_after});
         return true;
     }
-    if (known == state_->pools.end()) {
+    const bool is_new_view = known == state_->pools.end();
+    if (is_new_view) {
         state_->pools[pool] = {owner, {}, {}, now + state_->settings.holdings_interval, false};
     }
-    state_->pools[pool].pending.insert(id);
+    auto& view = state_->pools[pool];
+    view.pending.insert(id);
+    if (is_new_view && !state_->rates_of(pool, now).empty()) {
+        // The owner may have changed since the rates were named.
+        state_->report_holdings(pool, view, now);
+    }
     state_->by_deadline.emplace(entry.request.deadline, id);
     auto& stored = state_->pending.emplace(id, std::move(entry)).first->second;
     state_->send_to_owner(stored, owner, now);
@@ -98,8 +104,14 @@
 void credit_client::note_server(const std::string& request_id, const server_report& report)
 {
     const auto it = state_->held.find(request_id);
-    if (it != state_->held.end()) {
-        state_->note_rate(it->second, report.max_request_rate, state_->clock.now());
+    if (it == state_->held.end()) {
+        return;
+    }
+    const auto credit = it->second;
+    state_->note_rate(credit, report.max_request_rate, state_->clock.now());
+    // The granter also has to learn that a server no longer names the rate that it knows.
+    if (report.max_request_rate || credit.granted.is_rate_limited) {
+        state_->send_to_granters(credit, make_server_report_message(credit.granted, report));
     }
 }
 
@@ -131,6 +143,7 @@
     state_->expire_pending(now);
     state_->resend_due(now);
     state_->send_due_confirmations(now);
+    state_->remove_old_rates(now);
     state_->report_due_holdings(now);
 }
 
--- a/src/granting/credit_client.h
+++ b/src/granting/credit_client.h
@@ -46,8 +46,8 @@
     /// received.
     void release(const std::string& request_id, const release_report& report);
 
-    /// Records what the backend server of a credit reports in the header of its response. Must be
-    /// called when the header arrives. Ignored if the request holds no credit.
+    /// Passes what the backend server of a credit reports in the header of its response on to the
+    /// granter. Must be called when the header arrives. Ignored if the request holds no credit.
     void note_server(const std::string& request_id, const server_report& report);
 
     /// Withdraws a waiting request; its handler will not be called. Returns false if the request
--- a/src/granting/granter.cpp
+++ b/src/granting/granter.cpp
@@ -34,6 +34,9 @@
     else if (set.holdings && message.holdings.pool == own) {
         core_->handle_holdings(from, message.holdings, now);
     }
+    else if (set.server_report && message.server_report.pool == own) {
+        core_->handle_server_report(from, message.server_report, now);
+    }
     else {
         return;
     }
--- a/src/granting/granter.h
+++ b/src/granting/granter.h
@@ -40,8 +40,8 @@
     granter(const granter&) = delete;
     granter& operator=(const granter&) = delete;
 
-    /// Handles ask, confirmation, release, cancel and holdings messages of its pool; ignores
-    /// others.
+    /// Handles ask, confirmation, release, cancel, holdings and server report messages of its pool;
+    /// ignores others.
     void handle(const std::string& from, const wire::envelope& message);
 
     /// Expires credits and waiting requests, and grants credits for free slots. Must be called
--- a/src/granting/internal/credit_client_state.cpp
+++ b/src/granting/internal/credit_client_state.cpp
@@ -136,7 +136,8 @@
                          grant.backend_id,
                          grant.backend_address,
                          now + milliseconds{std::clamp<std::int64_t>(grant.lifetime_ms, 0, 60'000)},
-                         grant.reason};
+                         grant.reason,
+                         grant.rate_limited};
     const auto known = held.find(granted.request_id);
     if (known != held.end() && known->second.granted.credit_id == granted.credit_id) {
         return;
@@ -219,6 +220,7 @@
     }
     view.is_report_due = false;
     const auto owner = view.owner.instance_id;
+    auto named_rates = rates_of(pool, now);
     std::size_t start = 0;
     do {
         const auto end = std::min(holdings.size(), start + max_reported_holdings);
@@ -231,6 +233,9 @@
         if (start > 0 && report.holdings.size() < max_reported_holdings) {
             report.holdings.assign(holdings.end() - max_reported_holdings, holdings.end());
         }
+        if (!named_rates.empty()) {
+            report.__set_rates(std::exchange(named_rates, {}));
+        }
         wire::envelope message;
         message.__set_holdings(report);
         sender.send(owner, message);
@@ -296,12 +301,12 @@
     const auto known = rates.find(backend);
     std::optional<routing::named_rate> rate;
     if (known != rates.end()) {
-        rate = known->second;
+        rate = known->second.rate;
     }
     counters.named_rates += per_second ? 1 : 0;
     const bool is_changed = routing::update_rate(rate, per_second, credit.confirmed_at, now);
     if (rate) {
-        rates[backend] = *rate;
+        rates[backend] = {credit.granted.pool, *rate};
     }
     else {
         rates.erase(backend);
@@ -316,6 +321,25 @@
     }
 }
 
+std::vector<wire::named_rate> credit_client::state::rates_of(const std::string& pool,
+                                                             steady_time now) const
+{
+    std::vector<wire::named_rate> out;
+    for (const auto& [backend, it] : rates) {
+        if (it.pool == pool) {
+            out.push_back(make_named_rate(backend, it.rate, now));
+        }
+    }
+    return out;
+}
+
+void credit_client::state::remove_old_rates(steady_time now)
+{
+    std::erase_if(rates, [&](const auto& it) {
+        return now - it.second.rate.named > settings.remember_rates;
+    });
+}
+
 void credit_client::state::remove_pool_if_unused(const std::string& pool)
 {
     const auto it = pools.find(pool);
--- a/src/granting/internal/credit_client_state.h
+++ b/src/granting/internal/credit_client_state.h
@@ -34,6 +34,12 @@
     steady_time confirmed_at{};
 };
 
+/// Request rate that a backend server named in a response to this instance.
+struct known_rate {
+    std::string pool;
+    routing::named_rate rate;
+};
+
 /// Requests and credits of this instance at one pool.
 struct pool_view {
     pool_owner_id owner;
@@ -70,8 +76,11 @@
     /// Sends to the granter of a credit, and to the pool's current owner if it is another instance.
     void send_to_granters(const held_credit& held, const wire::envelope& message);
     void remove_pool_if_unused(const std::string& pool);
-    /// Records the request rate that the backend server of a credit reports, if any.
+    /// Records the request rate that the backend server of a credit reports, or that it reports
+    /// none.
     void note_rate(const held_credit& credit, std::optional<double> per_second, steady_time now);
+    std::vector<wire::named_rate> rates_of(const std::string& pool, steady_time now) const;
+    void remove_old_rates(steady_time now);
 
     credit_client_settings settings;
     const clock_source& clock;
@@ -82,7 +91,7 @@
     std::unordered_map<std::string, pending_request> pending;
     std::unordered_map<std::string, held_credit> held;
     std::map<std::string, pool_view> pools;
-    std::map<std::string, routing::named_rate> rates; ///< by id of the backend server
+    std::map<std::string, known_rate> rates; ///< by id of the backend server
     // Request ids by the time at which the action is due.
     std::set<std::pair<steady_time, std::string>> by_resend;
     std::set<std::pair<steady_time, std::string>> by_deadline;
--- a/src/granting/internal/credit_table.h
+++ b/src/granting/internal/credit_table.h
@@ -23,6 +23,7 @@
     scheduling::running_request running;
     routing::request_shape shape;
     bool is_confirmed = false;
+    steady_time issued_at{};    ///< epoch if another granter issued it
     steady_time confirmed_at{}; ///< or when its holder reported it
 };
 
--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -91,9 +91,14 @@
 {
     const auto counts = routing::count_slots(table, now);
     if (now < grants_start_at_) {
-        return {counts.total, 0, 0};
+        return {counts.total, 0, 0, 0, 0, 0};
     }
-    return {counts.total, counts.free, counts.free_headroom};
+    return {counts.total,
+            counts.free,
+            counts.free_headroom,
+            counts.rate_limited_total,
+            counts.rate_limited_slots,
+            counts.rate_limit};
 }
 
 void granter_core::flush()
@@ -184,6 +189,8 @@
         request.request_id, settings.pool,  credit_prefix_ + "-" + std::to_string(next_credit_++),
         chosen.id,          chosen.address, now + settings.credit_lifetime,
         chosen.reason};
+    entry.granted.is_rate_limited = routing::is_rate_limited(table, chosen.id);
+    entry.issued_at = now;
     entry.holder = request.holder;
     entry.running = {request.request_id, request.account, request.kind, request.tier, request.cost};
     entry.shape = shape;
@@ -217,6 +224,9 @@
     grant.lifetime_ms = std::max(milliseconds{0}, left - settings.expiry_margin).count();
     grant.__set_reason(entry.granted.reason);
     grant.__set_candidates(candidates);
+    if (entry.granted.is_rate_limited) {
+        grant.__set_rate_limited(true);
+    }
     wire::envelope message;
     message.__set_grant(grant);
     outbox_.emplace_back(entry.holder, std::move(message));
--- a/src/granting/internal/granter_core.h
+++ b/src/granting/internal/granter_core.h
@@ -38,6 +38,8 @@
                        steady_time now);
     void handle_holdings(const std::string& from, const wire::holdings_message& message,
                          steady_time now);
+    void handle_server_report(const std::string& from, const wire::server_report_message& message,
+                              steady_time now);
 
     void note_received(const std::string& from, steady_time now) { last_received_[from] = now; }
     void expire_credits(steady_time now);
@@ -83,6 +85,10 @@
     void add_in_use(issued_credit entry, steady_time now);
     /// Adds a credit from a holdings report if it is not known.
     void restore(const std::string& from, const wire::holding& holding, steady_time now);
+    /// Applies the rates that a holder remembers.
+    void restore_rates(const std::string& from, const std::vector<wire::named_rate>& rates,
+                       steady_time now);
+    void log_rate(const std::string& backend_id, const std::string& reported_by) const;
     bool is_excluded_everywhere(const scheduling::credit_request& request) const;
     /// Returns false if a request for the model may have to wait while replicas are free.
     bool is_served_by_all(const std::string& model) const;
--- a/src/granting/internal/granter_messages.cpp
+++ b/src/granting/internal/granter_messages.cpp
@@ -1,6 +1,8 @@
 #include "granting/internal/granter_core.h"
 #include "granting/internal/messages.h"
 
+#include "common/log.h"
+
 #include <algorithm>
 #include <unordered_set>
 
@@ -104,6 +106,7 @@
         reported.insert(it.request_id);
         restore(from, it, now);
     }
+    restore_rates(from, message.rates, now);
     if (message.holdings.size() >= max_reported_holdings) {
         return;
     }
@@ -119,6 +122,45 @@
     }
 }
 
+void granter_core::handle_server_report(const std::string& from,
+                                        const wire::server_report_message& message, steady_time now)
+{
+    const auto report = read_server_report_message(message);
+    const auto* entry = credits.find(message.request_id);
+    const bool is_known =
+        entry != nullptr && entry->holder == from && entry->granted.credit_id == message.credit_id;
+    const auto issued = is_known ? entry->issued_at : steady_time{};
+    if (routing::on_named_rate(table, message.backend_id, report.max_request_rate, issued, now)) {
+        log_rate(message.backend_id, from);
+    }
+}
+
+void granter_core::restore_rates(const std::string& from,
+                                 const std::vector<wire::named_rate>& rates, steady_time now)
+{
+    for (const auto& it : rates) {
+        const auto rate = read_named_rate(it, now);
+        if (rate && routing::restore_rate(table, it.backend_id, *rate, now)) {
+            log_rate(it.backend_id, from);
+        }
+    }
+}
+
+void granter_core::log_rate(const std::string& backend_id, const std::string& reported_by) const
+{
+    const auto it = table.index.find(backend_id);
+    if (it == table.index.end()) {
+        return;
+    }
+    const auto& rate = table.replicas[it->second].limiter.rate;
+    log_event("granting", log_level::info, "rate-limit",
+              {{"backend", backend_id},
+               {"pool", settings.pool},
+               {"state", rate ? "on" : "off"},
+               {"requests_per_s", rate ? rate->per_second : 0.0},
+               {"reported_by", reported_by}});
+}
+
 void granter_core::restore(const std::string& from, const wire::holding& holding, steady_time now)
 {
     const auto* known = credits.find(holding.request_id);
--- a/src/granting/internal/messages.cpp
+++ b/src/granting/internal/messages.cpp
@@ -23,6 +23,11 @@
     return std::isfinite(value) && value > 0 ? value : 0;
 }
 
+bool is_rate(double value)
+{
+    return std::isfinite(value) && value >= 0;
+}
+
 milliseconds time_until(steady_time then, steady_time now)
 {
     if (then - now > max_time) {
@@ -201,6 +206,52 @@
     return report;
 }
 
+wire::envelope make_server_report_message(const credit& granted, const server_report& report)
+{
+    wire::server_report_message out;
+    out.request_id = granted.request_id;
+    out.pool = granted.pool;
+    out.credit_id = granted.credit_id;
+    out.backend_id = granted.backend_id;
+    if (report.is_leaving) {
+        out.__set_leaving(true);
+    }
+    if (report.max_request_rate) {
+        out.__set_requests_per_second(*report.max_request_rate);
+    }
+    wire::envelope message;
+    message.__set_server_report(out);
+    return message;
+}
+
+server_report read_server_report_message(const wire::server_report_message& message)
+{
+    server_report report;
+    report.is_leaving = message.leaving;
+    if (message.__isset.requests_per_second && is_rate(message.requests_per_second)) {
+        report.max_request_rate = message.requests_per_second;
+    }
+    return report;
+}
+
+wire::named_rate make_named_rate(const std::string& backend_id, const routing::named_rate& rate,
+                                 steady_time now)
+{
+    wire::named_rate out;
+    out.backend_id = backend_id;
+    out.requests_per_second = rate.per_second;
+    out.age_ms = std::chrono::duration_cast<milliseconds>(now - rate.named).count();
+    return out;
+}
+
+std::optional<routing::named_rate> read_named_rate(const wire::named_rate& message, steady_time now)
+{
+    if (!is_rate(message.requests_per_second)) {
+        return std::nullopt;
+    }
+    return routing::named_rate{message.requests_per_second, now - read_time(message.age_ms)};
+}
+
 wire::envelope make_confirm_message(const credit& granted)
 {
     wire::confirm_message confirmation;
--- a/src/granting/internal/messages.h
+++ b/src/granting/internal/messages.h
@@ -2,11 +2,13 @@
 
 #include "granting/types/credit.h"
 #include "peer/wire.h"
+#include "routing/types/named_rate.h"
 #include "routing/types/reports.h"
 #include "routing/types/request_shape.h"
 #include "scheduling/types/credit_request.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,18 @@
 
 release_report read_release_message(const wire::release_message& message);
 
+wire::envelope make_server_report_message(const credit& granted, const server_report& report);
+
+/// Ignores a rate that is not a usable number.
+server_report read_server_report_message(const wire::server_report_message& message);
+
+wire::named_rate make_named_rate(const std::string& backend_id, const routing::named_rate& rate,
+                                 steady_time now);
+
+/// Returns empty if the rate is not a usable number.
+std::optional<routing::named_rate> read_named_rate(const wire::named_rate& message,
+                                                   steady_time now);
+
 wire::envelope make_confirm_message(const credit& granted);
 
 wire::envelope make_cancel_message(const std::string& pool, const std::string& request_id);
--- a/src/granting/pools.cpp
+++ b/src/granting/pools.cpp
@@ -258,6 +258,7 @@
     auto created =
         std::make_unique<granter>(settings, make_config(*slice.service->policy), clock_, sender_,
                                   decisions_, lookup_, &allowances_of(slice.pool));
+    created->replicas().rate_share = allowance_share_;
     update_allowances(slice);
     update_replicas(*created, slice);
     granters_.emplace(slice.pool, std::move(created));
@@ -371,6 +372,9 @@
             scheduling::set_share(allowances, share, clock_.now());
         }
     }
+    for (auto& [pool, granter] : granters_) {
+        granter->replicas().rate_share = share;
+    }
 }
 
 void pools::tick(steady_time now)
--- a/src/granting/tests/granting_fixture.h
+++ b/src/granting/tests/granting_fixture.h
@@ -30,7 +30,8 @@
 struct request_record {
     int answers = 0;
     int dispatches = 0;
-    std::string code; ///< of the refusal, or "granted"
+    std::string backend; ///< of the last credit
+    std::string code;    ///< of the refusal, or "granted"
     milliseconds answered_at{0};
 };
 
@@ -51,6 +52,13 @@
         wire::envelope message;
     };
 
+    /// Response header that has not reached its holder.
+    struct header {
+        steady_time at;
+        std::string holder, request_id;
+        server_report report;
+    };
+
     struct instance final : peer_sender {
         instance(cluster& c, const std::string& name)
             : parent{c}, id{name}, decisions{c.clock, 200}, router{name, *this},
@@ -160,6 +168,7 @@
                 record.answered_at = elapsed();
                 record.code = result.granted ? "granted" : result.reason.code;
                 if (result.granted) {
+                    record.backend = result.granted->backend_id;
                     dispatch(holder, id, service);
                 }
             });
@@ -177,6 +186,9 @@
         }
         ++records[id].dispatches;
         dispatched.push_back(clock.now());
+        arrivals[records[id].backend].push_back(clock.now());
+        headers.push_back(
+            {clock.now() + header_delay, holder, id, server_reports[records[id].backend]});
         running[id] = {holder, clock.now() + service};
         peak = std::max(peak, running.size());
     }
@@ -187,6 +199,7 @@
         while (clock.now() < end) {
             clock.advance(step);
             deliver();
+            deliver_headers();
             finish_requests();
             for (auto& [id, it] : members) {
                 if (!it->is_running) {
@@ -217,6 +230,40 @@
         }
     }
 
+    /// Delivers the response headers that are due, with what the backend servers report.
+    void deliver_headers()
+    {
+        const auto due = std::partition(headers.begin(), headers.end(),
+                                        [&](const auto& it) { return it.at > clock.now(); });
+        const std::vector<header> arrived{due, headers.end()};
+        headers.erase(due, headers.end());
+        for (const auto& it : arrived) {
+            if (members.at(it.holder)->is_running) {
+                members.at(it.holder)->own_credit_client.note_server(it.request_id, it.report);
+            }
+        }
+    }
+
+    /// Returns the largest number of requests that a backend server got within such a time, counted
+    /// from a point in time on.
+    std::size_t most_arrivals(const std::string& backend, milliseconds window,
+                              steady_time from) const
+    {
+        std::size_t most = 0;
+        const auto found = arrivals.find(backend);
+        if (found == arrivals.end()) {
+            return 0;
+        }
+        const auto& times = found->second;
+        for (auto it = times.begin(); it != times.end(); ++it) {
+            if (*it >= from) {
+                const auto end = std::lower_bound(it, times.end(), *it + window);
+                most = std::max(most, static_cast<std::size_t>(end - it));
+            }
+        }
+        return most;
+    }
+
     void finish_requests()
     {
         const auto all = running;
@@ -250,9 +297,13 @@
     std::map<std::string, request_record> records;
     std::map<std::string, std::pair<std::string, steady_time>> running; ///< holder and end
     std::size_t peak = 0;
-    std::vector<steady_time> dispatched; ///< in order
-    std::string model;                   ///< of the next submitted requests
-    double allowance_cost = 0;           ///< of the next submitted requests
+    std::vector<steady_time> dispatched;                      ///< in order
+    std::map<std::string, std::vector<steady_time>> arrivals; ///< by backend server
+    std::map<std::string, server_report> server_reports;      ///< in responses, by backend server
+    milliseconds header_delay{20}; ///< from the dispatch to the header of the response
+    std::vector<header> headers;
+    std::string model;         ///< of the next submitted requests
+    double allowance_cost = 0; ///< of the next submitted requests
     std::vector<account_policy> accounts;
     scheduling::allowance_settings allowance_limits;
     bool is_dispatching = true; ///< false: grants are received but not used
--- a/src/peer/envelope_kind.h
+++ b/src/peer/envelope_kind.h
@@ -37,10 +37,11 @@
     demand,
     drain,
     servers_request,
-    servers
+    servers,
+    server_report
 };
 
-constexpr std::size_t envelope_kind_count = 24;
+constexpr std::size_t envelope_kind_count = 25;
 
 /// Returns the first field that is set, or none.
 envelope_kind kind_of(const wire::envelope& message);
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -91,6 +91,9 @@
   6: required i64 lifetime_ms,
   7: optional string reason,
   8: optional list<string> candidates,  // "id=score" of each backend server considered
+  // The granter limits the requests to the backend server because it named a request rate. The
+  // holder reports whether its response still does.
+  9: optional bool rate_limited,
 }
 
 struct refusal_message {
@@ -141,10 +144,32 @@
   8: optional string model,
 }
 
+// Requests per second that a backend server accepts from all instances together.
+struct named_rate {
+  1: required string backend_id,
+  2: required double requests_per_second,
+  // Time since a response last named it.
+  3: required i64 age_ms,
+}
+
 // Requests in progress that a holder reports to a new granter.
 struct holdings_message {
   1: required string pool,
   2: required list<holding> holdings,
+  // Rates that backend servers of the pool named in responses to this holder.
+  3: optional list<named_rate> rates,
+}
+
+// What a backend server reports about itself in the header of a response. Sent when the header
+// arrives, because a stream may last much longer.
+struct server_report_message {
+  1: required string pool,
+  2: required string request_id,
+  3: required string credit_id,
+  4: required string backend_id,
+  5: optional bool leaving,
+  // Unset: the response names no rate.
+  6: optional double requests_per_second,
 }
 
 enum claim_status { claimed = 1, duplicate = 2, refused = 3, unknown = 4 }
@@ -296,4 +321,5 @@
   21: drain_notice drain,
   22: server_list_request servers_request,
   23: server_list_reply servers,
+  24: server_report_message server_report,
 }
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -1,5 +1,6 @@
 #include "routing/internal/load.h"
 #include "routing/internal/prefix_cache_index.h"
+#include "routing/request_rate.h"
 #include "routing/routing.h"
 
 #include <algorithm>
@@ -25,6 +26,9 @@
     if (std::find(excluded.begin(), excluded.end(), server.spec.id) != excluded.end()) {
         return candidate_state::excluded;
     }
+    if (!allows_request(server.limiter, table.rate_share, now)) {
+        return candidate_state::rate_limited;
+    }
     if (is_probe_due(table, server, now)) {
         return candidate_state::probe;
     }
@@ -126,6 +130,24 @@
     return {text, static_cast<std::size_t>(std::clamp(n, 0, static_cast<int>(sizeof text) - 1))};
 }
 
+/// Adds the slots of a replica that names a request rate. Only as many of them count as its rate
+/// lets requests start now.
+void count_rate_limited(const replica_table& table, const replica& server, slot_counts& counts,
+                        steady_time now)
+{
+    const int limit = slot_limit(table, server);
+    const int used = used_slots(table, server, now);
+    const int startable = available_requests(server.limiter, table.rate_share, now);
+    const int free = std::clamp(limit - used, 0, startable);
+    const int total = std::clamp(used + free, 1, limit);
+    counts.total += total;
+    counts.free += free;
+    counts.free_headroom += server.keeps_headroom ? free : 0;
+    counts.rate_limited_total += total;
+    counts.rate_limited_slots += limit;
+    counts.rate_limit += granted_rate(server.limiter, table.rate_share);
+}
+
 } // namespace
 
 std::optional<choice> choose(const replica_table& table, const request_shape& request,
@@ -181,11 +203,17 @@
             continue;
         }
         if (is_ejected(table, each, now)) {
-            const int probes = is_probe_due(table, each, now) ? 1 : 0;
+            const bool is_due = is_probe_due(table, each, now) &&
+                                allows_request(each.limiter, table.rate_share, now);
+            const int probes = is_due ? 1 : 0;
             counts.total += probes;
             counts.free += probes;
             continue;
         }
+        if (each.limiter.rate) {
+            count_rate_limited(table, each, counts, now);
+            continue;
+        }
         const int limit = slot_limit(table, each);
         const int free = std::max(0, limit - used_slots(table, each, now));
         counts.total += limit;
--- a/src/routing/replicas.cpp
+++ b/src/routing/replicas.cpp
@@ -1,6 +1,7 @@
 #include "routing/internal/load.h"
 #include "routing/internal/prefix_cache_index.h"
 #include "routing/internal/speed_estimates.h"
+#include "routing/request_rate.h"
 #include "routing/routing.h"
 
 #include <algorithm>
@@ -207,6 +208,7 @@
         known->has_known_models = false;
         known->reports_draining = false;
         known->is_kv_reported = false;
+        known->limiter = {};
     }
     known->spec = spec;
     known->class_index = find_class(table, spec.engine_class, spec.decode_rate);
@@ -248,6 +250,27 @@
     }
 }
 
+bool on_named_rate(replica_table& table, const std::string& id, std::optional<double> per_second,
+                   steady_time issued, steady_time now)
+{
+    replica* server = find(table, id);
+    return server != nullptr &&
+           update_limiter(server->limiter, per_second, issued, table.rate_share, now);
+}
+
+bool restore_rate(replica_table& table, const std::string& id, const named_rate& rate,
+                  steady_time now)
+{
+    replica* server = find(table, id);
+    return server != nullptr && restore_limiter(server->limiter, rate, table.rate_share, now);
+}
+
+bool is_rate_limited(const replica_table& table, const std::string& id)
+{
+    const auto it = table.index.find(id);
+    return it != table.index.end() && table.replicas[it->second].limiter.rate.has_value();
+}
+
 void on_dispatch(replica_table& table, const std::string& id, const request_shape& request,
                  steady_time now)
 {
@@ -270,6 +293,7 @@
         server->probes_in_flight += 1;
         server->next_probe = now + table.config.probe_interval;
     }
+    work.is_rate_limited = take_request(server->limiter, table.rate_share, now);
     if (server->in_flight == 0) {
         server->last_progress = now;
     }
@@ -287,15 +311,23 @@
 {
     dispatched_work work;
     replica* server = find(table, id);
-    if (server != nullptr && release(*server, request_id, work, now)) {
-        cancel_prefill(*server, work);
+    if (server == nullptr || !release(*server, request_id, work, now)) {
+        return;
+    }
+    cancel_prefill(*server, work);
+    if (work.is_rate_limited) {
+        return_request(server->limiter, table.rate_share, now);
     }
 }
 
 void on_cancel(replica_table& table, const std::string& id, const std::string& request_id,
                steady_time now)
 {
-    on_not_dispatched(table, id, request_id, now);
+    dispatched_work work;
+    replica* server = find(table, id);
+    if (server != nullptr && release(*server, request_id, work, now)) {
+        cancel_prefill(*server, work);
+    }
 }
 
 void on_first_token(replica_table& table, const std::string& id, const std::string& request_id,
--- a/src/routing/reports.cpp
+++ b/src/routing/reports.cpp
@@ -25,6 +25,8 @@
         return "out-of-kv";
     case candidate_state::prefill_busy:
         return "prefill-busy";
+    case candidate_state::rate_limited:
+        return "rate-limited";
     }
     return "unknown";
 }
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "routing/types/rate_limiter.h"
 
 #include <array>
 #include <chrono>
@@ -37,6 +38,7 @@
     double kv_tokens = 0;
     bool has_first_token = false;
     bool is_probe = false;
+    bool is_rate_limited = false; ///< counted by the replica's rate limiter
 };
 
 /// Number of own requests in flight at an earlier time, to interpret a delayed load report.
@@ -81,6 +83,8 @@
     steady_time prefill_free_at{}; ///< when the prefill of own requests is expected to be done
     std::unordered_map<std::string, dispatched_work> work; ///< by request id
 
+    rate_limiter limiter;
+
     steady_time last_report{};   ///< arrival of the last load report
     steady_time report_taken{};  ///< when the engine took the report
     int reported_requests = 0;   ///< requests in the report, own ones included
@@ -187,6 +191,9 @@
 struct replica_table {
     routing_config config;
     int healthy = 0; ///< replicas that are healthy and not leaving
+    /// Part of the rates named by replicas that this granter may use, 0 to 1. Below 1 while
+    /// unreachable instances may have another granter.
+    double rate_share = 1;
     std::vector<replica> replicas;
     std::vector<class_speed> classes;
     std::unordered_map<std::string, std::uint32_t> index;                       ///< by id
--- a/src/routing/types/reports.h
+++ b/src/routing/types/reports.h
@@ -53,6 +53,7 @@
     full,         ///< all of its slots are in use
     out_of_kv,    ///< has too little free KV cache for the whole request
     prefill_busy, ///< too much prefill ahead of the request
+    rate_limited, ///< would get more requests per second than it accepts
 };
 
 std::string to_string(candidate_state state);
@@ -80,6 +81,10 @@
     int total = 0;
     int free = 0;
     int free_headroom = 0; ///< free slots on replicas that keep headroom; included in free
+    // Of the replicas that name a request rate:
+    int rate_limited_total = 0; ///< their part of total: what they run and what they may start now
+    int rate_limited_slots = 0; ///< their slots, whatever their rates
+    double rate_limit = 0;      ///< requests per second that they accept
 };
 
 } // namespace almondline::routing
--- a/src/scheduling/internal/forecast.cpp
+++ b/src/scheduling/internal/forecast.cpp
@@ -100,11 +100,15 @@
 
 double capacity(const queue_state& queue)
 {
-    // Little's law: each slot serves one request per mean hold time.
     if (queue.mean_hold_time <= 0) {
         return 0;
     }
-    return queue.last_total_slots * queue.mean_cost / queue.mean_hold_time;
+    // Little's law: each slot serves one request per mean hold time.
+    const auto& slots = queue.last_slots;
+    const double unlimited = (slots.total - slots.rate_limited_total) / queue.mean_hold_time;
+    const double limited =
+        std::min(slots.rate_limited_slots / queue.mean_hold_time, slots.rate_limit);
+    return (unlimited + limited) * queue.mean_cost;
 }
 
 double expected_wait(const queue_state& queue, const tier_queue& tier, const account_state& account,
--- a/src/scheduling/queue.cpp
+++ b/src/scheduling/queue.cpp
@@ -221,7 +221,7 @@
 std::vector<shed_request> reconfigure(queue_state& queue, queue_config config, steady_time now)
 {
     queue_state next = make_queue(std::move(config));
-    next.last_total_slots = queue.last_total_slots;
+    next.last_slots = queue.last_slots;
     next.yield_balance = queue.yield_balance;
     next.mean_cost = queue.mean_cost;
     next.mean_hold_time = queue.mean_hold_time;
@@ -279,7 +279,7 @@
     }
     tier.floor.last_arrival = now;
     flow.parent->floor->last_arrival = now;
-    queue.last_total_slots = slots.total;
+    queue.last_slots = slots;
     const int unfilled_slots = reserve_slots(queue, slots.total, now);
     const bool starts_now = can_start_now(queue, flow, slots, unfilled_slots);
     if (!starts_now) {
@@ -313,7 +313,7 @@
 
 std::optional<credit_request> pick(queue_state& queue, const slot_view& slots, steady_time now)
 {
-    queue.last_total_slots = slots.total;
+    queue.last_slots = slots;
     const int unfilled_slots = reserve_slots(queue, slots.total, now);
     if (slots.free <= 0) {
         return std::nullopt;
--- a/src/scheduling/tests/shedding_test.cpp
+++ b/src/scheduling/tests/shedding_test.cpp
@@ -193,3 +193,37 @@
         CHECK(tier.waiting_cost == 0);
     }
 }
+
+TEST_CASE("requests that the servers' request rate cannot serve in time are refused at once")
+{
+    // The forecast counted free slots only, so that callers waited until their deadline.
+    queue_state queue = make_queue(queue_config{});
+    manual_clock clock;
+    slot_view slots{2, 1, 0};
+    slots.rate_limited_total = 2;
+    slots.rate_limited_slots = 12;
+    slots.rate_limit = 4;
+    const auto add = [&](const std::string& id) {
+        credit_request request;
+        request.request_id = id;
+        request.account = "a";
+        request.cost = 1;
+        request.deadline = clock.now() + 1s;
+        return enqueue(queue, request, slots, clock.now());
+    };
+    add("first");
+    REQUIRE(pick(queue, slots, clock.now()));
+    clock.advance(20ms);
+    finish(queue, "first", 1, clock.now());
+    slots.free = 0;
+    int accepted = 0;
+    enqueue_result last;
+    for (int n = 0; n < 12; ++n) {
+        last = add("r" + std::to_string(n));
+        accepted += last.status == enqueue_status::accepted ? 1 : 0;
+    }
+    CHECK(accepted >= 4);
+    CHECK(accepted <= 5);
+    CHECK(last.reason.code == code_deadline);
+    CHECK(last.reason.retry_after.count() > 0);
+}
--- a/src/scheduling/types/queue_state.h
+++ b/src/scheduling/types/queue_state.h
@@ -152,8 +152,8 @@
     std::uint64_t next_sequence = 1ULL << 32U;
     std::uint64_t front_sequence = 1ULL << 32U; ///< counts down, for requests that are put back
     std::uint64_t next_tie_breaker = 1;
-    double yield_balance = 0; ///< picks that the next group of tiers has accrued
-    int last_total_slots = 0;
+    double yield_balance = 0;   ///< picks that the next group of tiers has accrued
+    slot_view last_slots;       ///< at the last enqueue() or pick()
     double mean_cost = 0;       ///< of finished requests
     double mean_hold_time = 0;  ///< s between pick() and finish() of finished requests
     std::uint64_t finished = 0; ///< number of requests that the two means are based on
--- a/src/scheduling/types/results.h
+++ b/src/scheduling/types/results.h
@@ -22,6 +22,10 @@
     int free = 0;
     /// Free slots on the replicas that are kept for accounts without a backlog. Included in free.
     int free_headroom = 0;
+    // Of the replicas that accept a limited number of requests per second:
+    int rate_limited_total = 0; ///< their part of total: what they run and what they may start now
+    int rate_limited_slots = 0; ///< their slots, whatever their rates
+    double rate_limit = 0;      ///< requests per second that they accept
 };
 
 /// A request that was removed from the queue, and the refusal to send to its caller.
--- a/tests/platform/server_rate_test.py
+++ b/tests/platform/server_rate_test.py
@@ -80,6 +80,16 @@
             time.sleep(self.pause)
 
 
+def granting_gateway(fleet):
+    """Returns the gateway that owns the pools."""
+    for it in fleet.gateways:
+        text = it.call("metrics", "GET", "/metrics").body.decode()
+        owned = [line for line in text.splitlines() if line.startswith("almondline_pools_owned")]
+        if owned and float(owned[0].split()[1]) > 0:
+            return it
+    raise AssertionError("no gateway owns a pool")
+
+
 class ServerRateTest(unittest.TestCase):
     def test_replicas_get_no_more_requests_than_the_rate_they_name(self):
         # Replicas that named a rate were chosen as if they had not.
@@ -95,6 +105,49 @@
             # The other replica has room for all others.
             self.assertEqual({answer.status for _, answer in load.answers}, {200})
 
+    def test_rate_holds_when_the_granting_gateway_is_killed(self):
+        # A new granter would start with all slots of the replica if nobody told it.
+        with GatewayFleet(GATEWAYS) as fleet:
+            it = Arrivals(fleet.replicas["desk-0"], 3.0)
+            with Load(fleet, pause=0.05):
+                time.sleep(1)
+                begin = time.monotonic()
+                time.sleep(2)
+                granting_gateway(fleet).process.kill()
+                time.sleep(5)
+            self.assertLessEqual(it.most_in_a_window(begin), it.allowed())
+            self.assertGreaterEqual(it.most_in_a_window(begin), it.rate * WINDOW / 2)
+
+    def test_callers_are_refused_at_once_when_all_replicas_name_low_rates(self):
+        # Callers waited until their deadline for replicas that could not take their requests.
+        with GatewayFleet(GATEWAYS) as fleet:
+            arrivals = [Arrivals(fleet.replicas[f"desk-{n}"], 2.0) for n in range(2)]
+            with Load(fleet, pause=0.02):
+                time.sleep(1)
+            with Load(fleet, pause=0.05) as load:
+                begin = time.monotonic()
+                time.sleep(5)
+            for it in arrivals:
+                self.assertLessEqual(it.most_in_a_window(begin), it.allowed())
+            served = [answer for _, answer in load.answers if answer.status == 200]
+            refused = [it for it in load.answers if it[1].status == 503]
+            self.assertGreater(len(served), 10)
+            for seconds, answer in refused:
+                self.assertIn("Retry-After", answer.headers)
+                self.assertLess(seconds, 1.4)
+
+    def test_replica_gets_its_usual_requests_when_it_no_longer_names_a_rate(self):
+        # A rate that nobody lifts would keep a recovered replica idle.
+        with GatewayFleet(GATEWAYS) as fleet:
+            it = Arrivals(fleet.replicas["desk-0"], 3.0)
+            with Load(fleet, pause=0.02):
+                time.sleep(2)
+                it.is_named = False
+                time.sleep(2)
+                begin = time.monotonic()
+                time.sleep(4)
+            self.assertGreater(it.most_in_a_window(begin), 2 * it.allowed())
+
 
 if __name__ == "__main__":
     unittest.main()
