Tell the granter at once that a backend server leaves

The report of the response header now carries it. The release still does, in case the report is lost.

Evidence: granting_tests "a server that reports in a long response that it leaves" fails without the report (21 requests instead of 1) and passes with it.

--- a/src/granting/credit_client.cpp
+++ b/src/granting/credit_client.cpp
@@ -110,7 +110,7 @@
     const auto credit = it->second;
     state_->note_rate(credit, report.max_request_rate, state_->clock.now());
     // The granter also has to learn that a server no longer names the rate that it knows.
-    if (report.max_request_rate || credit.granted.is_rate_limited) {
+    if (report.is_leaving || report.max_request_rate || credit.granted.is_rate_limited) {
         state_->send_to_granters(credit, make_server_report_message(credit.granted, report));
     }
 }
--- a/src/granting/internal/granter_messages.cpp
+++ b/src/granting/internal/granter_messages.cpp
@@ -126,6 +126,9 @@
                                         const wire::server_report_message& message, steady_time now)
 {
     const auto report = read_server_report_message(message);
+    if (report.is_leaving) {
+        routing::mark_leaving(table, message.backend_id);
+    }
     const auto* entry = credits.find(message.request_id);
     const bool is_known =
         entry != nullptr && entry->holder == from && entry->granted.credit_id == message.credit_id;
--- a/src/granting/tests/server_rate_test.cpp
+++ b/src/granting/tests/server_rate_test.cpp
@@ -117,3 +117,21 @@
     }
     CHECK(is_always_limited);
 }
+
+TEST_CASE("a server that reports in a long response that it leaves gets no request of any holder")
+{
+    // The granter used to learn it only when the response ended.
+    cluster c{3};
+    c.start_granter("e1", 2, 4);
+    c.server_reports["b1"].is_leaving = true;
+    for (int n = 0; n < 2; ++n) {
+        c.submit("e2", "long" + std::to_string(n), 1, 10s);
+    }
+    c.run_for(500ms);
+    REQUIRE(c.arrivals["b1"].size() == 1);
+    for (int n = 0; n < 20; ++n) {
+        c.submit("e3", "short" + std::to_string(n), 1, 50ms);
+        c.run_for(100ms);
+    }
+    CHECK(c.arrivals["b1"].size() == 1);
+}
