--- a/src/fleet/node_metrics.cpp
+++ b/src/fleet/node_metrics.cpp
@@ -46,9 +46,9 @@
     set("almondline_suspicions_total", static_cast<double>(instance.members.suspicions()));
     set("almondline_deaths_total", static_cast<double>(instance.members.deaths()));
     set("almondline_backend_rates_known",
-        static_cast<double>(instance.credit_client.named_rate_count()));
-    set("almondline_backend_rates_named_total",
-        static_cast<double>(instance.credit_client.counters().named_rates));
+        static_cast<double>(instance.credit_client.advertised_rate_count()));
+    set("almondline_backend_rates_advertised_total",
+        static_cast<double>(instance.credit_client.counters().advertised_rates));
     report_calls(metrics, calls);
     report_traffic(metrics, instance.transport.counters());
 }
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -174,7 +174,7 @@
 {
     is_server_leaving_ = is_server_leaving_ || notice.is_leaving;
     context_.on_notice(credit_.backend_id, notice);
-    // Only a usable response to this request shows that the server no longer names a rate.
+    // Only a usable response to this request shows that the server no longer advertises a rate.
     const bool is_own_response = kind != reply_kind::mismatched && kind != reply_kind::invalid;
     if (is_own_response || notice.max_request_rate) {
         context_.credits.note_server(call_.attempt_id,
--- a/src/granting/credit_client.cpp
+++ b/src/granting/credit_client.cpp
@@ -45,7 +45,7 @@
     auto& view = state_->pools[pool];
     view.pending.insert(id);
     if (is_new_view && !state_->rates_of(pool, now).empty()) {
-        // The owner may have changed since the rates were named.
+        // The owner may have changed since the rates were advertised.
         state_->report_holdings(pool, view, now);
     }
     state_->by_deadline.emplace(entry.request.deadline, id);
@@ -109,7 +109,7 @@
     }
     const auto credit = it->second;
     state_->note_rate(credit, report.max_request_rate, state_->clock.now());
-    // The granter also has to learn that a server no longer names the rate that it knows.
+    // The granter also has to learn that a server no longer advertises the rate that it knows.
     if (report.is_leaving || report.max_request_rate || credit.granted.is_rate_limited) {
         state_->send_to_granters(credit, make_server_report_message(credit.granted, report));
     }
@@ -162,7 +162,7 @@
     return state_->held.size();
 }
 
-std::size_t credit_client::named_rate_count() const
+std::size_t credit_client::advertised_rate_count() const
 {
     return state_->rates.size();
 }
--- a/src/granting/credit_client.h
+++ b/src/granting/credit_client.h
@@ -68,7 +68,7 @@
     std::size_t waiting_count() const;
     std::size_t held_count() const;
     /// Returns the number of backend servers whose request rate this instance knows.
-    std::size_t named_rate_count() const;
+    std::size_t advertised_rate_count() const;
     const credit_client_counters& counters() const;
 
 private:
--- a/src/granting/internal/credit_client_state.cpp
+++ b/src/granting/internal/credit_client_state.cpp
@@ -220,7 +220,7 @@
     }
     view.is_report_due = false;
     const auto owner = view.owner.instance_id;
-    auto named_rates = rates_of(pool, now);
+    auto advertised_rates = rates_of(pool, now);
     std::size_t start = 0;
     do {
         const auto end = std::min(holdings.size(), start + max_reported_holdings);
@@ -233,8 +233,8 @@
         if (start > 0 && report.holdings.size() < max_reported_holdings) {
             report.holdings.assign(holdings.end() - max_reported_holdings, holdings.end());
         }
-        if (!named_rates.empty()) {
-            report.__set_rates(std::exchange(named_rates, {}));
+        if (!advertised_rates.empty()) {
+            report.__set_rates(std::exchange(advertised_rates, {}));
         }
         wire::envelope message;
         message.__set_holdings(report);
@@ -299,11 +299,11 @@
 {
     const auto& backend = credit.granted.backend_id;
     const auto known = rates.find(backend);
-    std::optional<routing::named_rate> rate;
+    std::optional<routing::advertised_rate> rate;
     if (known != rates.end()) {
         rate = known->second.rate;
     }
-    counters.named_rates += per_second ? 1 : 0;
+    counters.advertised_rates += per_second ? 1 : 0;
     const bool is_changed = routing::update_rate(rate, per_second, credit.confirmed_at, now);
     if (rate) {
         rates[backend] = {credit.granted.pool, *rate};
@@ -315,19 +315,19 @@
         log_event("granting", log_level::info, "server-rate",
                   {{"backend", backend},
                    {"pool", credit.granted.pool},
-                   {"state", rate ? "named" : "ended"},
+                   {"state", rate ? "advertised" : "ended"},
                    {"requests_per_s", per_second.value_or(0)},
                    {"granter", credit.granter}});
     }
 }
 
-std::vector<wire::named_rate> credit_client::state::rates_of(const std::string& pool,
-                                                             steady_time now) const
+std::vector<wire::advertised_rate> credit_client::state::rates_of(const std::string& pool,
+                                                                  steady_time now) const
 {
-    std::vector<wire::named_rate> out;
+    std::vector<wire::advertised_rate> out;
     for (const auto& [backend, it] : rates) {
         if (it.pool == pool) {
-            out.push_back(make_named_rate(backend, it.rate, now));
+            out.push_back(make_advertised_rate(backend, it.rate, now));
         }
     }
     return out;
@@ -336,7 +336,7 @@
 void credit_client::state::remove_old_rates(steady_time now)
 {
     std::erase_if(rates, [&](const auto& it) {
-        return now - it.second.rate.named > settings.remember_rates;
+        return now - it.second.rate.advertised_at > settings.remember_rates;
     });
 }
 
--- a/src/granting/internal/credit_client_state.h
+++ b/src/granting/internal/credit_client_state.h
@@ -2,7 +2,7 @@
 
 #include "granting/credit_client.h"
 #include "granting/internal/messages.h"
-#include "routing/types/named_rate.h"
+#include "routing/types/advertised_rate.h"
 
 #include <deque>
 #include <map>
@@ -34,10 +34,10 @@
     steady_time confirmed_at{};
 };
 
-/// Request rate that a backend server named in a response to this instance.
+/// Request rate that a backend server advertised in a response to this instance.
 struct known_rate {
     std::string pool;
-    routing::named_rate rate;
+    routing::advertised_rate rate;
 };
 
 /// Requests and credits of this instance at one pool.
@@ -79,7 +79,7 @@
     /// Records the request rate that the backend server of a credit reports, or that it reports
     /// none.
     void note_rate(const held_credit& credit, std::optional<double> per_second, steady_time now);
-    std::vector<wire::named_rate> rates_of(const std::string& pool, steady_time now) const;
+    std::vector<wire::advertised_rate> rates_of(const std::string& pool, steady_time now) const;
     void remove_old_rates(steady_time now);
 
     credit_client_settings settings;
--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -90,15 +90,15 @@
 scheduling::slot_view granter_core::slots_at(steady_time now) const
 {
     const auto counts = routing::count_slots(table, now);
-    if (now < grants_start_at_) {
-        return {counts.total, 0, 0, 0, 0, 0};
-    }
-    return {counts.total,
-            counts.free,
-            counts.free_headroom,
-            counts.rate_limited_total,
-            counts.rate_limited_slots,
-            counts.rate_limit};
+    const bool may_grant = now >= grants_start_at_;
+    scheduling::slot_view slots;
+    slots.total = counts.total;
+    slots.free = may_grant ? counts.free : 0;
+    slots.free_headroom = may_grant ? counts.free_headroom : 0;
+    slots.rate_limited_total = counts.rate_limited_total;
+    slots.rate_limited_slots = counts.rate_limited_slots;
+    slots.rate_limit = counts.rate_limit;
+    return slots;
 }
 
 void granter_core::flush()
--- a/src/granting/internal/granter_core.h
+++ b/src/granting/internal/granter_core.h
@@ -86,7 +86,7 @@
     /// Adds a credit from a holdings report if it is not known.
     void restore(const std::string& from, const wire::holding& holding, steady_time now);
     /// Applies the rates that a holder remembers.
-    void restore_rates(const std::string& from, const std::vector<wire::named_rate>& rates,
+    void restore_rates(const std::string& from, const std::vector<wire::advertised_rate>& rates,
                        steady_time now);
     void log_rate(const std::string& backend_id, const std::string& reported_by) const;
     bool is_excluded_everywhere(const scheduling::credit_request& request) const;
--- a/src/granting/internal/granter_messages.cpp
+++ b/src/granting/internal/granter_messages.cpp
@@ -133,16 +133,17 @@
     const bool is_known =
         entry != nullptr && entry->holder == from && entry->granted.credit_id == message.credit_id;
     const auto issued = is_known ? entry->issued_at : steady_time{};
-    if (routing::on_named_rate(table, message.backend_id, report.max_request_rate, issued, now)) {
+    if (routing::on_advertised_rate(table, message.backend_id, report.max_request_rate, issued,
+                                    now)) {
         log_rate(message.backend_id, from);
     }
 }
 
 void granter_core::restore_rates(const std::string& from,
-                                 const std::vector<wire::named_rate>& rates, steady_time now)
+                                 const std::vector<wire::advertised_rate>& rates, steady_time now)
 {
     for (const auto& it : rates) {
-        const auto rate = read_named_rate(it, now);
+        const auto rate = read_advertised_rate(it, now);
         if (rate && routing::restore_rate(table, it.backend_id, *rate, now)) {
             log_rate(it.backend_id, from);
         }
--- a/src/granting/internal/messages.cpp
+++ b/src/granting/internal/messages.cpp
@@ -234,22 +234,23 @@
     return report;
 }
 
-wire::named_rate make_named_rate(const std::string& backend_id, const routing::named_rate& rate,
-                                 steady_time now)
+wire::advertised_rate make_advertised_rate(const std::string& backend_id,
+                                           const routing::advertised_rate& rate, steady_time now)
 {
-    wire::named_rate out;
+    wire::advertised_rate out;
     out.backend_id = backend_id;
     out.requests_per_second = rate.per_second;
-    out.age_ms = std::chrono::duration_cast<milliseconds>(now - rate.named).count();
+    out.age_ms = std::chrono::duration_cast<milliseconds>(now - rate.advertised_at).count();
     return out;
 }
 
-std::optional<routing::named_rate> read_named_rate(const wire::named_rate& message, steady_time now)
+std::optional<routing::advertised_rate> read_advertised_rate(const wire::advertised_rate& message,
+                                                             steady_time now)
 {
     if (!is_rate(message.requests_per_second)) {
         return std::nullopt;
     }
-    return routing::named_rate{message.requests_per_second, now - read_time(message.age_ms)};
+    return routing::advertised_rate{message.requests_per_second, now - read_time(message.age_ms)};
 }
 
 wire::envelope make_confirm_message(const credit& granted)
--- a/src/granting/internal/messages.h
+++ b/src/granting/internal/messages.h
@@ -2,7 +2,7 @@
 
 #include "granting/types/credit.h"
 #include "peer/wire.h"
-#include "routing/types/named_rate.h"
+#include "routing/types/advertised_rate.h"
 #include "routing/types/reports.h"
 #include "routing/types/request_shape.h"
 #include "scheduling/types/credit_request.h"
@@ -37,12 +37,12 @@
 /// Ignores a rate that is not a usable number.
 server_report read_server_report_message(const wire::server_report_message& message);
 
-wire::named_rate make_named_rate(const std::string& backend_id, const routing::named_rate& rate,
-                                 steady_time now);
+wire::advertised_rate make_advertised_rate(const std::string& backend_id,
+                                           const routing::advertised_rate& rate, steady_time now);
 
 /// Returns empty if the rate is not a usable number.
-std::optional<routing::named_rate> read_named_rate(const wire::named_rate& message,
-                                                   steady_time now);
+std::optional<routing::advertised_rate> read_advertised_rate(const wire::advertised_rate& message,
+                                                             steady_time now);
 
 wire::envelope make_confirm_message(const credit& granted);
 
--- a/src/granting/pools.h
+++ b/src/granting/pools.h
@@ -40,7 +40,7 @@
     void handle(const std::string& from, const wire::envelope& message);
     void remove_holder(const std::string& instance_id);
     /// Sets the share of the accounts' allowances, and of the request rates that backend servers
-    /// name, that this instance grants while it owns the pools, 0 to 1.
+    /// advertise, that this instance grants while it owns the pools, 0 to 1.
     void set_allowance_share(double share);
 
     /// Returns this instance's granter for the pool, or nullptr if it does not own the pool.
--- a/src/granting/tests/server_rate_test.cpp
+++ b/src/granting/tests/server_rate_test.cpp
@@ -12,7 +12,7 @@
 /// Requests that may reach a server in a window: its rate, half of that and 5 more.
 constexpr std::size_t allowed = 23;
 
-/// Instances that each submit short requests to two servers; the first names a rate.
+/// Instances that each submit short requests to two servers; the first advertises a rate.
 struct loaded_cluster : cluster {
     loaded_cluster() : cluster{5}
     {
@@ -39,7 +39,7 @@
 
 } // namespace
 
-TEST_CASE("requests of all holders together stay within the rate that a server names")
+TEST_CASE("requests of all holders together stay within the rate that a server advertises")
 {
     loaded_cluster c;
     c.load_for(500ms);
@@ -84,7 +84,7 @@
     CHECK(c.most_arrivals("b1", window, from) <= allowed);
 }
 
-TEST_CASE("a server that no longer names a rate gets its usual share again")
+TEST_CASE("a server that no longer advertises a rate gets its usual share again")
 {
     loaded_cluster c;
     c.load_for(4s);
@@ -95,7 +95,7 @@
     CHECK(c.most_arrivals("b1", window, from) > 3 * allowed);
 }
 
-TEST_CASE("a late response to an earlier request does not end a rate that was named meanwhile")
+TEST_CASE("a late response to an earlier request does not end a rate that was advertised meanwhile")
 {
     loaded_cluster c;
     c.load_for(1s);
@@ -135,3 +135,31 @@
     }
     CHECK(c.arrivals["b1"].size() == 1);
 }
+
+TEST_CASE("the rate holds through lost messages and changes of granter")
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        loaded_cluster c;
+        std::mt19937 random{seed};
+        c.rule = [&random](const auto&, const auto&, const auto&) {
+            const bool is_lost = random() % 20 == 0;
+            return delivery{is_lost ? 0 : 1, milliseconds{1 + random() % 20}};
+        };
+        c.load_for(500ms);
+        const auto from = c.clock.now();
+        for (int n = 0; n < 6; ++n) {
+            c.load_for(milliseconds{500 + random() % 2'000});
+            const std::string old = c.owner;
+            c.owner = old == "e1" ? "e5" : "e1";
+            c.start_granter(c.owner, 2, 4);
+            // One holder learns of the new granter later, so both grant for a while.
+            c.views["e2"] = old;
+            c.load_for(300ms);
+            c.views.clear();
+            c.members[old]->own_granter.reset();
+        }
+        c.load_for(4s);
+        CHECK(c.most_arrivals("b1", window, from) <= allowed);
+    }
+}
--- a/src/granting/types/credit.h
+++ b/src/granting/types/credit.h
@@ -22,7 +22,7 @@
     std::string backend_address;
     steady_time expires{};        ///< unless confirmed before
     std::string reason;           ///< why this backend server was chosen, for the log and operators
-    bool is_rate_limited = false; ///< the backend server named a request rate
+    bool is_rate_limited = false; ///< the backend server advertised a request rate
 };
 
 /// Answer to a credit request: a credit or a refusal.
--- a/src/granting/types/granting_counters.h
+++ b/src/granting/types/granting_counters.h
@@ -23,7 +23,8 @@
     std::uint64_t surplus_grants = 0; ///< released immediately because no request waited for them
     std::uint64_t timed_out = 0;      ///< requests refused at their deadline
     std::uint64_t owner_changes = 0;
-    std::uint64_t named_rates = 0; ///< responses in which a backend server named a request rate
+    std::uint64_t advertised_rates =
+        0; ///< responses in which a backend server advertised a request rate
 };
 
 } // namespace almondline::granting
--- a/src/granting/types/granting_settings.h
+++ b/src/granting/types/granting_settings.h
@@ -59,7 +59,7 @@
     std::chrono::milliseconds confirm_before_expiry{0};
     /// Interval between reports of the credits in use, which reveal lost releases.
     std::chrono::milliseconds holdings_interval{5000};
-    /// How long a request rate that a backend server named is reported to new granters.
+    /// How long a request rate that a backend server advertised is reported to new granters.
     std::chrono::milliseconds remember_rates{30'000};
 };
 
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -91,7 +91,7 @@
   6: required i64 lifetime_ms,
   7: optional string reason,
   8: optional list<string> candidates,  // "id=score" of each backend server considered
-  // The granter limits the requests to the backend server because it named a request rate. The
+  // The granter limits the requests to the backend server because it advertised a request rate. The
   // holder reports whether its response still does.
   9: optional bool rate_limited,
 }
@@ -145,10 +145,10 @@
 }
 
 // Requests per second that a backend server accepts from all instances together.
-struct named_rate {
+struct advertised_rate {
   1: required string backend_id,
   2: required double requests_per_second,
-  // Time since a response last named it.
+  // Time since a response last advertised it.
   3: required i64 age_ms,
 }
 
@@ -156,8 +156,8 @@
 struct holdings_message {
   1: required string pool,
   2: required list<holding> holdings,
-  // Rates that backend servers of the pool named in responses to this holder.
-  3: optional list<named_rate> rates,
+  // Rates that backend servers of the pool advertised in responses to this holder.
+  3: optional list<advertised_rate> rates,
 }
 
 // What a backend server reports about itself in the header of a response. Sent when the header
@@ -168,7 +168,7 @@
   3: required string credit_id,
   4: required string backend_id,
   5: optional bool leaving,
-  // Unset: the response names no rate.
+  // Unset: the response advertises no rate.
   6: optional double requests_per_second,
 }
 
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -130,8 +130,8 @@
     return {text, static_cast<std::size_t>(std::clamp(n, 0, static_cast<int>(sizeof text) - 1))};
 }
 
-/// Adds the slots of a replica that names a request rate. Only as many of them count as its rate
-/// lets requests start now.
+/// Adds the slots of a replica that advertises a request rate. Only as many of them count as its
+/// rate lets requests start now.
 void count_rate_limited(const replica_table& table, const replica& server, slot_counts& counts,
                         steady_time now)
 {
--- a/src/routing/request_rate.cpp
+++ b/src/routing/request_rate.cpp
@@ -35,15 +35,15 @@
 
 } // namespace
 
-bool update_rate(std::optional<named_rate>& rate, std::optional<double> per_second,
+bool update_rate(std::optional<advertised_rate>& rate, std::optional<double> per_second,
                  steady_time sent, steady_time now)
 {
     if (per_second) {
         const bool is_changed = !rate || rate->per_second != *per_second;
-        rate = named_rate{*per_second, now};
+        rate = advertised_rate{*per_second, now};
         return is_changed;
     }
-    if (!rate || sent < rate->named) {
+    if (!rate || sent < rate->advertised_at) {
         return false;
     }
     rate.reset();
@@ -62,14 +62,16 @@
     return is_changed;
 }
 
-bool restore_limiter(rate_limiter& limiter, const named_rate& rate, double share, steady_time now)
+bool restore_limiter(rate_limiter& limiter, const advertised_rate& rate, double share,
+                     steady_time now)
 {
-    if (rate.named <= limiter.changed) {
+    if (rate.advertised_at <= limiter.changed) {
         return false;
     }
-    const bool is_changed = update_limiter(limiter, rate.per_second, rate.named, share, now);
+    const bool is_changed =
+        update_limiter(limiter, rate.per_second, rate.advertised_at, share, now);
     limiter.rate = rate;
-    limiter.changed = rate.named;
+    limiter.changed = rate.advertised_at;
     return is_changed;
 }
 
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -26,15 +26,15 @@
 
 /// Applies the request rate that a replica reports in a response, or empty if it reports none. The
 /// credit of the request was issued at the given time. Returns true if the rate has changed.
-bool on_named_rate(replica_table& table, const std::string& id, std::optional<double> per_second,
-                   steady_time issued, steady_time now);
+bool on_advertised_rate(replica_table& table, const std::string& id,
+                        std::optional<double> per_second, steady_time issued, steady_time now);
 
 /// Applies a request rate that another instance remembers. Ignored if the table knows something
 /// later. Returns true if the rate has changed.
-bool restore_rate(replica_table& table, const std::string& id, const named_rate& rate,
+bool restore_rate(replica_table& table, const std::string& id, const advertised_rate& rate,
                   steady_time now);
 
-/// Returns true if requests to the replica are limited to a rate that it named.
+/// Returns true if requests to the replica are limited to a rate that it advertised.
 bool is_rate_limited(const replica_table& table, const std::string& id);
 
 /// Stops sending new requests to exactly the replicas in the set, until a later call omits them.
@@ -66,7 +66,7 @@
                  steady_time now);
 
 /// Reverts on_dispatch() for a request that was not dispatched: its credit expired or was returned
-/// unused. It does not count against the rate that the replica names.
+/// unused. It does not count against the rate that the replica advertises.
 void on_not_dispatched(replica_table& table, const std::string& id, const std::string& request_id,
                        steady_time now);
 
--- a/src/routing/tests/request_rate_test.cpp
+++ b/src/routing/tests/request_rate_test.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-TEST_CASE("a rate ends only with a response to a request that was sent after it was named")
+TEST_CASE("a rate ends only with a response to a request that was sent after it was advertised")
 {
     struct row {
         const char* name;
@@ -59,7 +59,7 @@
     };
     for (const auto& it : rows) {
         CAPTURE(it.name);
-        std::optional<named_rate> rate;
+        std::optional<advertised_rate> rate;
         CHECK(update_rate(rate, 4.6, start - 1s, start));
         CHECK(update_rate(rate, std::nullopt, it.sent, start + 2s) == it.is_ended);
         CHECK(rate.has_value() != it.is_ended);
@@ -68,15 +68,15 @@
 
 TEST_CASE("update_rate reports changes only")
 {
-    std::optional<named_rate> rate;
+    std::optional<advertised_rate> rate;
     CHECK_FALSE(update_rate(rate, std::nullopt, start, start));
     CHECK(update_rate(rate, 2.0, start, start));
     CHECK_FALSE(update_rate(rate, 2.0, start, start + 1s));
-    CHECK(rate->named == start + 1s);
+    CHECK(rate->advertised_at == start + 1s);
     CHECK(update_rate(rate, 3.0, start, start + 1s));
 }
 
-TEST_CASE("a replica gets as many requests as the rate that it names")
+TEST_CASE("a replica gets as many requests as the rate that it advertises")
 {
     struct row {
         const char* name;
@@ -95,7 +95,7 @@
         CAPTURE(it.name);
         auto table = make_table();
         table.rate_share = it.share;
-        on_named_rate(table, "a", it.rate, start, start);
+        on_advertised_rate(table, "a", it.rate, start, start);
         const int n = dispatch_for(table, 10s);
         CHECK(n >= it.least);
         CHECK(n <= it.most);
@@ -114,7 +114,7 @@
     for (const auto& it : rows) {
         CAPTURE(it.name);
         auto table = make_table();
-        on_named_rate(table, "a", 1, start, start);
+        on_advertised_rate(table, "a", 1, start, start);
         const auto now = start + 1s;
         on_dispatch(table, "a", make_request("1"), now);
         CHECK_FALSE(choose(table, make_request("2"), now));
@@ -127,7 +127,7 @@
 {
     // With no slot at all, the granter would refuse every request because no server is usable.
     auto table = make_table();
-    on_named_rate(table, "a", 2, start, start);
+    on_advertised_rate(table, "a", 2, start, start);
     const auto slots = count_slots(table, start);
     CHECK(slots.total == 1);
     CHECK(slots.free == 0);
@@ -136,12 +136,12 @@
     CHECK(slots.rate_limit == 2);
 }
 
-TEST_CASE("a failed replica that names a rate is not probed beyond it")
+TEST_CASE("a failed replica that advertises a rate is not probed beyond it")
 {
     auto table = make_table();
     on_dispatch(table, "a", make_request("1"), start);
     on_unreachable(table, "a", "1", start);
-    on_named_rate(table, "a", 0.25, start, start);
+    on_advertised_rate(table, "a", 0.25, start, start);
     CHECK_FALSE(choose(table, make_request("2"), start + 3s));
     CHECK(count_slots(table, start + 3s).free == 0);
     CHECK(choose(table, make_request("2"), start + 5s));
@@ -150,7 +150,7 @@
 TEST_CASE("a new process with the id of a replica has no rate")
 {
     auto table = make_table();
-    on_named_rate(table, "a", 1, start, start);
+    on_advertised_rate(table, "a", 1, start, start);
     replica_spec spec = table.replicas.front().spec;
     spec.address = "10.0.0.2:80";
     update_replica(table, spec, start);
@@ -161,7 +161,7 @@
 {
     auto table = make_table();
     CHECK(restore_rate(table, "a", {2, start}, start + 1s));
-    CHECK(on_named_rate(table, "a", std::nullopt, start + 2s, start + 3s));
+    CHECK(on_advertised_rate(table, "a", std::nullopt, start + 2s, start + 3s));
     CHECK_FALSE(restore_rate(table, "a", {2, start}, start + 4s));
     CHECK_FALSE(is_rate_limited(table, "a"));
     CHECK(restore_rate(table, "a", {2, start + 4s}, start + 5s));
--- a/src/routing/types/replica.h
+++ b/src/routing/types/replica.h
@@ -191,7 +191,7 @@
 struct replica_table {
     routing_config config;
     int healthy = 0; ///< replicas that are healthy and not leaving
-    /// Part of the rates named by replicas that this granter may use, 0 to 1. Below 1 while
+    /// Part of the rates advertised by replicas that this granter may use, 0 to 1. Below 1 while
     /// unreachable instances may have another granter.
     double rate_share = 1;
     std::vector<replica> replicas;
--- a/src/routing/types/reports.h
+++ b/src/routing/types/reports.h
@@ -81,7 +81,7 @@
     int total = 0;
     int free = 0;
     int free_headroom = 0; ///< free slots on replicas that keep headroom; included in free
-    // Of the replicas that name a request rate:
+    // Of the replicas that advertise a request rate:
     int rate_limited_total = 0; ///< their part of total: what they run and what they may start now
     int rate_limited_slots = 0; ///< their slots, whatever their rates
     double rate_limit = 0;      ///< requests per second that they accept
--- a/tests/platform/server_rate_test.py
+++ b/tests/platform/server_rate_test.py
@@ -1,4 +1,4 @@
-"""Tests that gateways keep their requests to a replica within the rate that it names."""
+"""Tests that gateways keep their requests to a replica within the rate that it advertises."""
 
 import sys
 import threading
@@ -18,19 +18,19 @@
 
 
 class Arrivals:
-    """Times of the requests that reached a replica which names a rate in its responses."""
+    """Times of the requests that reached a replica which advertises a rate in its responses."""
 
     def __init__(self, replica, rate):
         self.replica = replica
         self.rate = rate
-        self.is_named = True
+        self.is_advertised = True
         self.times = []
         replica.behaviour = self.answer
 
     def answer(self, handler):
         self.times.append(time.monotonic())
         fields = [("Almondline-Server-Seal", "s")]
-        if self.is_named:
+        if self.is_advertised:
             fields.append(("Server-Limit", str(self.rate)))
         handler.answer(200, b"ran", fields)
         return True
@@ -91,8 +91,8 @@
 
 
 class ServerRateTest(unittest.TestCase):
-    def test_replicas_get_no_more_requests_than_the_rate_they_name(self):
-        # Replicas that named a rate were chosen as if they had not.
+    def test_replicas_get_no_more_requests_than_the_rate_they_advertise(self):
+        # Replicas that advertised a rate were chosen as if they had not.
         with GatewayFleet(GATEWAYS) as fleet:
             arrivals = [Arrivals(fleet.replicas["desk-0"], 3.0)]
             with Load(fleet, pause=0.05) as load:
@@ -118,7 +118,7 @@
             self.assertLessEqual(it.most_in_a_window(begin), it.allowed())
             self.assertGreaterEqual(it.most_in_a_window(begin), it.rate * WINDOW / 2)
 
-    def test_callers_are_refused_at_once_when_all_replicas_name_low_rates(self):
+    def test_callers_are_refused_at_once_when_all_replicas_advertise_low_rates(self):
         # Callers waited until their deadline for replicas that could not take their requests.
         with GatewayFleet(GATEWAYS) as fleet:
             arrivals = [Arrivals(fleet.replicas[f"desk-{n}"], 2.0) for n in range(2)]
@@ -136,13 +136,13 @@
                 self.assertIn("Retry-After", answer.headers)
                 self.assertLess(seconds, 1.4)
 
-    def test_replica_gets_its_usual_requests_when_it_no_longer_names_a_rate(self):
+    def test_replica_gets_its_usual_requests_when_it_no_longer_advertises_a_rate(self):
         # A rate that nobody lifts would keep a recovered replica idle.
         with GatewayFleet(GATEWAYS) as fleet:
             it = Arrivals(fleet.replicas["desk-0"], 3.0)
             with Load(fleet, pause=0.02):
                 time.sleep(2)
-                it.is_named = False
+                it.is_advertised = False
                 time.sleep(2)
                 begin = time.monotonic()
                 time.sleep(4)
