Take the ports of test processes from below the ephemeral range

platform_server_rate failed once in ctest -j 4: "cannot listen: bind: Address already in use". find_free_port() took an ephemeral port and closed it again; before the gateway listened on it, one of the many outgoing connections of the tests had it. The new test's load made that likely; all tests of real processes share the function.

Ports now come from 10000 to 31999, a thousand for each test process by its id, so that neither outgoing connections nor tests beside it take them.

--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -1,5 +1,6 @@
 """Starts and stops single processes. Only those started here are signalled, by their id."""
 
+import itertools
 import os
 import signal
 import socket
@@ -16,10 +17,32 @@
     return str(Path(directory) / name)
 
 
+# Ports below the ephemeral range of Linux (32768 and up). A port from that range may be taken by an
+# outgoing connection before the process under test listens on it.
+FIRST_PORT = 10_000
+PORTS_PER_TEST = 1_000
+TEST_RANGES = 22
+
+
+def own_ports():
+    """Yields the ports of this test process again and again. Tests that run at the same time have
+    process ids that are close to each other, and so different ports."""
+    first = FIRST_PORT + os.getpid() % TEST_RANGES * PORTS_PER_TEST
+    return itertools.cycle(range(first, first + PORTS_PER_TEST))
+
+
+PORTS = own_ports()
+
+
 def find_free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    for port in itertools.islice(PORTS, PORTS_PER_TEST):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise StartError("all ports of this test are in use")
 
 
 class StartError(Exception):
