Ask another watcher at once when one can't read the list of servers

Instances that follow the list ask one of its watchers each second. A watcher that is itself turned away replied "unchanged", which looked like an up-to-date list; with a third of them turned away, several such replies in a row, a second apart, delay the news beyond the bound.

The reply now says that its list is unreliable. A follower then asks the next watcher after 100 ms, up to four in a row, and learns nothing from it.

Evidence: two cases of fleet_tests fail before (no second request within 150 ms; is_known() after an unreliable reply) and pass now.

--- a/src/fleet/server_list.cpp
+++ b/src/fleet/server_list.cpp
@@ -13,6 +13,9 @@
 
 /// Upper limit for the age that a peer reports; larger values are reduced to it.
 constexpr milliseconds max_age{60'000};
+/// Watchers that a follower asks in quick succession while each replies that it can't read the
+/// list.
+constexpr int max_early_requests = 4;
 
 wire::listed_server to_wire(const listed_instance& it)
 {
@@ -255,6 +258,16 @@
     callbacks_.send(peers[next_peer_++ % peers.size()], message);
 }
 
+/// Brings the request to the next watcher forward. Several in a row have no reliable list if the
+/// service is down for all of them; then the usual interval applies.
+void server_list::request_again_soon(steady_time now)
+{
+    ++unreliable_replies_;
+    if (is_following_ && unreliable_replies_ % max_early_requests != 0) {
+        next_peer_request_ = std::min(next_peer_request_, now + settings_.early_interval);
+    }
+}
+
 bool server_list::handle(const std::string& from, const wire::envelope& message, steady_time now)
 {
     if (message.__isset.servers_request) {
@@ -281,6 +294,9 @@
     const auto known = std::max(last_success_, source_.health().last_answer);
     reply.age_ms = std::chrono::duration_cast<milliseconds>(now - known).count();
     reply.unchanged = !is_reliable || reply.revision == known_revision;
+    if (!is_reliable) {
+        reply.__set_unreliable(true);
+    }
     if (!reply.unchanged) {
         for (const auto& it : present_replicas(registry_)) {
             reply.servers.push_back(to_wire(it));
@@ -300,6 +316,11 @@
     if ((!is_failing_ && !is_following_) || revision < registry_.revision) {
         return;
     }
+    if (reply.unreliable) {
+        request_again_soon(now);
+        return;
+    }
+    unreliable_replies_ = 0;
     const milliseconds age{std::clamp<std::int64_t>(reply.age_ms, 0, max_age.count())};
     last_success_ = std::max(last_success_, now - age);
     last_answer_ = std::max(last_answer_, last_success_);
--- a/src/fleet/server_list.h
+++ b/src/fleet/server_list.h
@@ -34,6 +34,8 @@
     std::chrono::milliseconds peer_interval{500};
     /// Between two requests to the instances that watch the list on behalf of this one.
     std::chrono::milliseconds follow_interval{1000};
+    /// The same after a reply of an instance that can't read the list.
+    std::chrono::milliseconds early_interval{100};
     /// If they have not replied for this long, the list is read from its service.
     std::chrono::milliseconds follow_timeout{2500};
     /// A gap of more than this between two answers of the list's service counts as an outage, in
@@ -83,6 +85,7 @@
     void request_from_peer(steady_time now);
     bool follow_watchers(const std::vector<std::string>& watchers, steady_time now);
     void send_request(const std::vector<std::string>& peers);
+    void request_again_soon(steady_time now);
     void send_reply(const std::string& to, std::int64_t known_revision, steady_time now);
     void handle_reply(const std::string& from, const wire::envelope& message, steady_time now);
     std::chrono::milliseconds retry_interval() const;
@@ -107,6 +110,7 @@
     steady_time next_call_{};
     steady_time next_peer_request_{};
     std::size_t next_peer_ = 0;
+    int unreliable_replies_ = 0; ///< since the last reliable one
 };
 
 } // namespace almondline::fleet
--- a/src/fleet/tests/server_list_test.cpp
+++ b/src/fleet/tests/server_list_test.cpp
@@ -324,6 +324,42 @@
     CHECK_FALSE(f.self.is_usable("a"));
 }
 
+// A list without servers would make it refuse all requests.
+TEST_CASE("an instance that has read nothing learns nothing from one whose list is unreliable")
+{
+    fixture f;
+    f.synchronize({server("a")});
+    f.peer.end_watch(watch_status::failed);
+    follower late{f.clock};
+    late.peers = {"peer"};
+    late.list.tick(f.clock.now());
+    late.fail_read();
+    late.list.tick(f.clock.now());
+    REQUIRE(late.sent.size() == 1);
+    f.peer.list.handle("late", late.sent.front().second, f.clock.now());
+    REQUIRE(f.peer.sent.size() == 1);
+    CHECK(late.list.handle("peer", f.peer.sent.front().second, f.clock.now()));
+    CHECK_FALSE(late.list.is_known());
+}
+
+// With a store that turned some instances away, a follower asked such watchers one after the other,
+// a second apart, and kept a server that had left for more than 3 s.
+TEST_CASE("a follower asks another watcher soon if one can't read the list")
+{
+    fixture f;
+    f.self.peers = f.self.watchers = {"peer", "other"};
+    f.synchronize({server("a")}, false);
+    f.peer.end_watch(watch_status::failed);
+    f.self.sent.clear();
+    while (f.self.sent.empty() || f.self.sent.back().first != "peer") {
+        f.run_for(50ms);
+    }
+    f.deliver();
+    f.run_for(150ms);
+    REQUIRE(f.self.sent.size() == 1);
+    CHECK(f.self.sent.back().first == "other");
+}
+
 TEST_CASE("an instance that starts during a store outage gets the list from another instance")
 {
     fixture f;
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -294,6 +294,8 @@
   // The list of servers is empty.
   3: required bool unchanged,
   4: required list<listed_server> servers,
+  // The sender can't read the list, or is not sure that it is complete.
+  5: optional bool unreliable,
 }
 
 // Exactly one field is set.
