Log which prompt parts ran on an engine that crashed

After a response that breaks off before or just after its first event, the holder connects to the engine again. A refused connection means that it crashed: the event server-crashed names the engine, the account and the parts, and almondline_server_crashes_total counts it.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <sstream>
 
 /// Steps of one attempt to run a request on a backend server.
 namespace almondline::gateway {
@@ -20,6 +21,16 @@
     return static_cast<std::int64_t>(amount);
 }
 
+std::string join_hex(const std::vector<std::uint64_t>& ids)
+{
+    std::ostringstream out;
+    out << std::hex;
+    for (const auto it : ids) {
+        out << (out.tellp() > 0 ? "," : "") << it;
+    }
+    return out.str();
+}
+
 bool is_event_stream(const http_response& response)
 {
     return find_header(response.headers, "Content-Type").starts_with("text/event-stream");
@@ -33,6 +44,7 @@
     first_event_ = {};
     response_ = {};
     is_server_leaving_ = false;
+    has_server_crashed_ = false;
     cause_.clear();
     const auto size = call_.size.value_or(call_size{});
     context_.decisions.add(
@@ -241,6 +253,32 @@
     }
 }
 
+asio::awaitable<void> request_flow::check_crash()
+{
+    const auto now = context_.clock.now();
+    const bool has_progressed = first_event_ != steady_time{} &&
+                                now - first_event_ >= context_.limits.crash_after_first_event;
+    if (end_ != attempt_end::broken || has_progressed || call_.prompt_parts.empty()) {
+        co_return;
+    }
+    ip_endpoint address;
+    parse_endpoint(credit_.backend_address, address);
+    const auto found =
+        co_await probe_listener(std::move(address), context_.limits.crash_check_timeout);
+    if (found != probe_result::refused) {
+        co_return;
+    }
+    has_server_crashed_ = true;
+    context_.metrics.add("almondline_server_crashes_total", {{"service", service_}});
+    context_.decisions.add(call_.attempt_id, log_level::warning, "server-crashed",
+                           {{"request", call_.attempt_id},
+                            {"backend", credit_.backend_id},
+                            {"account", account_ == nullptr ? std::string{} : account_->name},
+                            {"cause", cause_},
+                            {"events", events_.count()},
+                            {"prompt_parts", join_hex(call_.prompt_parts)}});
+}
+
 void request_flow::keep_connection()
 {
     context_.connections.put(server_key(), std::move(*connection_), response_);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -233,6 +233,7 @@
             co_return;
         }
         co_await run_attempt();
+        co_await check_crash();
         release_credit();
         is_planned = plan_next();
     }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -46,6 +46,8 @@
     boost::asio::awaitable<void> read_body(std::chrono::milliseconds response_timeout);
     boost::asio::awaitable<void> relay_events();
     boost::asio::awaitable<bool> forward_events(const std::string& events);
+    /// Finds out whether the server crashed when it started to answer this request.
+    boost::asio::awaitable<void> check_crash();
     void keep_connection();
     void release_credit();
     bool plan_next();
@@ -91,7 +93,9 @@
     bool is_written_ = false; ///< the whole request was sent to the server of this attempt
     bool may_have_run_ = false;
     bool is_server_leaving_ = false; ///< the server of this attempt reported that it stops soon
-    bool has_started_ = false;       ///< part of the response was sent to the caller
+    bool has_server_crashed_ =
+        false;                 ///< the server of this attempt crashed as it started to answer
+    bool has_started_ = false; ///< part of the response was sent to the caller
     int servers_reached_ = 0;
     int unreachable_servers_ = 0;
     steady_time dispatched_{};
--- a/src/gateway/types/call.h
+++ b/src/gateway/types/call.h
@@ -27,6 +27,9 @@
     std::optional<double> expected_output_tokens; ///< estimate of the caller
     std::vector<std::uint64_t> prefix_blocks;     ///< chained hashes of the prompt blocks
     std::vector<std::int32_t> prefix_tokens;      ///< prompt tokens up to the end of each block
+    /// Ids of the parts of the prompt that other requests may share, in order. The same part has
+    /// the same id whatever comes before it.
+    std::vector<std::uint64_t> prompt_parts;
     /// Request to forward, without hop-by-hop headers and headers that only the system sets.
     http_request message;
 };
--- a/src/gateway/types/flow_limits.h
+++ b/src/gateway/types/flow_limits.h
@@ -11,6 +11,11 @@
     /// A connection to a backend server is closed when sent bytes stay unacknowledged for this
     /// long.
     std::chrono::milliseconds unacknowledged_timeout{1'500};
+    /// For the connection that finds out whether a server that broke off a response still runs.
+    std::chrono::milliseconds crash_check_timeout{200};
+    /// A response that broke off later than this after its first event did not crash its server by
+    /// starting.
+    std::chrono::milliseconds crash_after_first_event{200};
     /// A request that may be retried goes to another server when this multiple of the route's
     /// target latency, or of its target gap after the first event, passes without a response or an
     /// event.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -205,6 +205,24 @@
     socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>{max_unanswered_probes}, ec);
 }
 
+asio::awaitable<probe_result> probe_listener(ip_endpoint address, std::chrono::milliseconds timeout)
+{
+    boost::system::error_code ec;
+    const auto ip = asio::ip::make_address(address.host, ec);
+    if (ec) {
+        co_return probe_result::no_answer;
+    }
+    beast::tcp_stream stream{co_await asio::this_coro::executor};
+    stream.expires_after(timeout);
+    const asio::ip::tcp::endpoint endpoint{ip, address.port};
+    std::tie(ec) = co_await stream.async_connect(endpoint, use_tuple);
+    if (!ec) {
+        co_return probe_result::listening;
+    }
+    co_return ec == asio::error::connection_refused ? probe_result::refused
+                                                    : probe_result::no_answer;
+}
+
 asio::awaitable<http_result> call_http(ip_endpoint address, http_request request,
                                        http_timeouts timeouts, std::size_t max_body)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -79,6 +79,16 @@
     std::unique_ptr<state> state_;
 };
 
+enum class probe_result {
+    listening,
+    refused, ///< the host answered that nothing listens at the address
+    no_answer
+};
+
+/// Opens a connection to an address and closes it again, to find out whether a server listens.
+boost::asio::awaitable<probe_result> probe_listener(ip_endpoint address,
+                                                    std::chrono::milliseconds timeout);
+
 struct http_result {
     http_progress progress = http_progress::not_connected;
     http_response response;
