--- a/tests/platform_standins/replica.py
+++ b/tests/platform_standins/replica.py
@@ -1,6 +1,7 @@
 """Stand-in for a replica of the users' platform: plain requests and event streams."""
 
 import socket
+import struct
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -15,6 +16,29 @@
         self.events = 3
         self.event_pause = 0.0
         self.disconnects = []    # times at which a disconnect ended a run
+        self.crashes = []        # times at which the replica crashed
+        self.connections = set()
+        self.server = None
+
+    def crash(self, seconds):
+        """Resets all connections and refuses new ones for some seconds."""
+        self.crashes.append(time.monotonic())
+        port = self.server.server_address[1]
+        self.server.socket.close()
+        threading.Thread(target=self.server.shutdown, daemon=True).start()
+        for it in list(self.connections):
+            reset(it)
+        threading.Timer(seconds, serve, (self, port)).start()
+
+
+def reset(connection):
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        # shutdown() wakes a thread that reads from the connection; close() would not.
+        connection.shutdown(socket.SHUT_RDWR)
+        connection.close()
+    except OSError:
+        pass  # it was closed already
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -24,6 +48,14 @@
     def log_message(self, *_):
         pass
 
+    def setup(self):
+        super().setup()
+        self.replica.connections.add(self.connection)
+
+    def finish(self):
+        self.replica.connections.discard(self.connection)
+        super().finish()
+
     def answer(self, status, body=b"", headers=()):
         self.send_response(status)
         self.send_header("Almondline-Attempt-Id", self.headers.get("Almondline-Attempt-Id", ""))
@@ -96,6 +128,7 @@
     handler = type("ReplicaHandler", (Handler,), {"replica": replica})
     server = ThreadingHTTPServer(("127.0.0.1", port), handler)
     server.daemon_threads = True
+    replica.server = server
     server.handle_error = lambda *_: None  # tests abort connections on purpose
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
