Keep prompt parts that crash backend servers away from them

What callers saw: while requests with one prompt part arrived, engines crashed about twice a second.

Cause: nothing remembered which prompts ran on an engine that crashed. A broken response counted against its engine only, so each new request with the part crashed another one, and its retry one more. Class of fault: failures were attributed to the server when the request was the cause.

The holder reports the shared prompt parts of a request whose server crashed as it started to answer. The granter quarantines a part after three such crashes without an answer between them, and tells all owners of the service and the members; further requests are refused at once as not run, with the time of the next trial. Crashes that a quarantined part explains count against no other part. Parts that always came together are told apart by single trials. Decisions are exchanged every second while they are in force, so that neither a hand-over nor a restart loses them; granters of other slices receive the crash reports. All tables are bounded. An answer ends a quarantine.

--- a/src/common/hash.cpp
+++ b/src/common/hash.cpp
@@ -61,6 +61,13 @@
     return mix(h);
 }
 
+std::string to_hex(std::uint64_t value)
+{
+    char buf[17];
+    std::snprintf(buf, sizeof buf, "%llx", static_cast<unsigned long long>(value));
+    return buf;
+}
+
 std::vector<std::string> rendezvous_order(std::string_view key, std::vector<std::string> candidates)
 {
     const std::uint64_t seed = stable_hash(key);
--- a/src/common/hash.h
+++ b/src/common/hash.h
@@ -17,6 +17,9 @@
 /// keys.
 std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
 
+/// Lower-case hexadecimal digits without leading zeros.
+std::string to_hex(std::uint64_t value);
+
 /// Returns the candidates in rendezvous hashing order (highest random weight) for a key, best
 /// first. Removing a candidate moves only the keys that it owned.
 std::vector<std::string> rendezvous_order(std::string_view key,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -181,6 +181,9 @@
                       const std::string& request_id) {
                    return node_.owned_pools.pools_of(service, account, request_id);
                },
+               [this](const std::string& service, const granting::prompt_parts& parts) {
+                   return node_.owned_pools.quarantine_wait(service, parts);
+               },
                [this](const std::string& backend_id, const server_notice& notice) {
                    on_notice(backend_id, notice);
                },
@@ -425,6 +428,8 @@
     set("almondline_backend_connections_idle", static_cast<double>(connections_.size()));
     set("almondline_backend_connections_reused_total", static_cast<double>(connections_.reused()));
     set("almondline_log_lines_dropped_total", static_cast<double>(dropped_log_lines()));
+    set("almondline_quarantined_prompts",
+        static_cast<double>(node_.owned_pools.quarantined_prompts()));
     set("almondline_pools_owned", static_cast<double>(node_.owned_pools.granters().size()));
 }
 
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -1,3 +1,4 @@
+#include "common/hash.h"
 #include "gateway/internal/durations.h"
 #include "gateway/internal/forwarding_headers.h"
 #include "gateway/request_flow.h"
@@ -5,7 +6,6 @@
 #include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <sstream>
 
 /// Steps of one attempt to run a request on a backend server.
 namespace almondline::gateway {
@@ -23,12 +23,11 @@
 
 std::string join_hex(const std::vector<std::uint64_t>& ids)
 {
-    std::ostringstream out;
-    out << std::hex;
+    std::string out;
     for (const auto it : ids) {
-        out << (out.tellp() > 0 ? "," : "") << it;
+        out += (out.empty() ? "" : ",") + to_hex(it);
     }
-    return out.str();
+    return out;
 }
 
 bool is_event_stream(const http_response& response)
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -211,6 +211,7 @@
     request.excluded = excluded_;
     const auto in_backoff = replicas_in_backoff(context_.replicas, service_, context_.clock.now());
     request.excluded.insert(request.excluded.end(), in_backoff.begin(), in_backoff.end());
+    request.prompt_parts = call_.prompt_parts;
     request.prefix_blocks = call_.prefix_blocks;
     request.prefix_tokens = call_.prefix_tokens;
     request.cost = unsized_call_cost;
@@ -243,6 +244,12 @@
 {
     bool is_overflow = false;
     while (true) {
+        if (const auto wait = context_.quarantine_wait(service_, call_.prompt_parts)) {
+            refusal_ = {verdict::not_run, std::string{granting::code_quarantined},
+                        "a part of the prompt crashed several backend servers", *wait};
+            is_refused_ = true;
+            co_return false;
+        }
         auto request = make_credit_request();
         const auto pools = context_.pools_of(service_, request.account, call_.attempt_id);
         auto pool = is_overflow ? pools.back() : pools.front();
@@ -294,6 +301,9 @@
     report.outcome = outcome_of(end_, is_sent_, response_.status >= first_server_error);
     report.duration = since(dispatched_, now);
     report.is_server_leaving = is_server_leaving_;
+    if (has_server_crashed_) {
+        report.crashed_parts = call_.prompt_parts;
+    }
     if (call_.size) {
         const auto events = static_cast<double>(events_.count());
         report.prompt_tokens = call_.size->prompt_tokens;
--- a/src/gateway/types/gateway_context.h
+++ b/src/gateway/types/gateway_context.h
@@ -40,6 +40,11 @@
     std::function<std::vector<std::string>(const std::string& service, const std::string& account,
                                            const std::string& request_id)>
         pools_of;
+    /// Returns how long a request has to wait because of quarantined parts of its prompt; nothing
+    /// if it may run.
+    std::function<std::optional<std::chrono::milliseconds>(const std::string& service,
+                                                           const granting::prompt_parts& parts)>
+        quarantine_wait;
     /// Called with the notice of each response header.
     std::function<void(const std::string& backend_id, const server_notice& notice)> on_notice;
     std::function<std::size_t()> instance_count; ///< upper bound of the instances that serve
--- a/src/granting/granter.cpp
+++ b/src/granting/granter.cpp
@@ -6,9 +6,10 @@
 
 granter::granter(granter_settings settings, scheduling::queue_config config,
                  const clock_source& clock, peer_sender& sender, decision_log& decisions,
-                 failure_domain_lookup lookup, scheduling::allowance_table* allowances)
+                 failure_domain_lookup lookup, scheduling::allowance_table* allowances,
+                 quarantine_table* quarantine)
     : core_{std::make_unique<granter_core>(std::move(settings), std::move(config), clock, sender,
-                                           decisions, std::move(lookup), allowances)}
+                                           decisions, std::move(lookup), allowances, quarantine)}
 {
 }
 
--- a/src/granting/granter.h
+++ b/src/granting/granter.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "granting/decision_log.h"
+#include "granting/quarantine.h"
 #include "granting/types/granting_counters.h"
 #include "granting/types/granting_settings.h"
 #include "granting/types/model_work.h"
@@ -25,7 +26,8 @@
 using failure_domain_lookup = std::function<std::string(const std::string& instance_id)>;
 
 /// Grants the dispatch slots of one pool slice, within the accounts' allowances if it is given an
-/// allowance table. Created by the entry instance that owns the slice and destroyed when it no
+/// allowance table, and refuses requests with quarantined prompt parts if it is given a quarantine
+/// table. Created by the entry instance that owns the slice and destroyed when it no
 /// longer does. Its state can be rebuilt: holders resend their credit requests to its successor and
 /// report their requests in progress.
 ///
@@ -35,7 +37,8 @@
 public:
     granter(granter_settings settings, scheduling::queue_config config, const clock_source& clock,
             peer_sender& sender, decision_log& decisions, failure_domain_lookup lookup = {},
-            scheduling::allowance_table* allowances = nullptr);
+            scheduling::allowance_table* allowances = nullptr,
+            quarantine_table* quarantine = nullptr);
     ~granter();
     granter(const granter&) = delete;
     granter& operator=(const granter&) = delete;
--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -25,11 +25,12 @@
 
 granter_core::granter_core(granter_settings own_settings, scheduling::queue_config config,
                            const clock_source& time, peer_sender& sender, decision_log& decisions,
-                           failure_domain_lookup lookup, scheduling::allowance_table* allowances)
+                           failure_domain_lookup lookup, scheduling::allowance_table* allowances,
+                           quarantine_table* quarantine)
     : settings{std::move(own_settings)}, queue{scheduling::make_queue(std::move(config))},
       credits{settings.late_confirmation_window}, clock{time}, sender_{sender},
       decisions_{decisions}, lookup_{std::move(lookup)}, allowances_{allowances},
-      credit_prefix_{random_id().substr(0, credit_prefix_length)},
+      quarantine_{quarantine}, credit_prefix_{random_id().substr(0, credit_prefix_length)},
       grants_start_at_{time.now() + settings.takeover_delay}
 {
     table.config = settings.routing;
@@ -120,6 +121,7 @@
     if (now < grants_start_at_) {
         return;
     }
+    check_quarantines(now);
     std::vector<scheduling::credit_request> deferred;
     std::size_t bypassed = 0;
     std::size_t bypassed_by_model = 0;
@@ -194,6 +196,7 @@
     entry.holder = request.holder;
     entry.running = {request.request_id, request.account, request.kind, request.tier, request.cost};
     entry.shape = shape;
+    entry.parts = request.prompt_parts;
     const auto candidates = describe_best(chosen.candidates, settings.max_logged_candidates);
     ++counters.grants;
     decisions_.add(request.request_id, log_level::info, "grant",
@@ -293,6 +296,9 @@
     if (report.is_server_leaving) {
         routing::mark_leaving(table, backend);
     }
+    if (report.outcome == release_outcome::finished) {
+        note_answer(*entry, now);
+    }
     scheduling::finish(queue, request_id, cost, now);
     const bool has_run = report.outcome != release_outcome::not_dispatched &&
                          report.outcome != release_outcome::unreachable;
--- a/src/granting/internal/granter_core.h
+++ b/src/granting/internal/granter_core.h
@@ -23,7 +23,8 @@
 public:
     granter_core(granter_settings settings, scheduling::queue_config config,
                  const clock_source& clock, peer_sender& sender, decision_log& decisions,
-                 failure_domain_lookup lookup, scheduling::allowance_table* allowances);
+                 failure_domain_lookup lookup, scheduling::allowance_table* allowances,
+                 quarantine_table* quarantine);
     ~granter_core();
     granter_core(const granter_core&) = delete;
     granter_core& operator=(const granter_core&) = delete;
@@ -45,6 +46,8 @@
     void expire_credits(steady_time now);
     void expire_credit_requests(steady_time now);
     void check_backends(steady_time now);
+    /// Refuses waiting requests with prompt parts that were quarantined since the last call.
+    void check_quarantines(steady_time now);
     /// Refuses requests for models that no replica has loaded.
     void check_models(steady_time now);
     std::vector<model_work> work_by_model() const;
@@ -69,6 +72,11 @@
     /// Reserves the tokens of a request in its account's allowance, unless it already has a charge.
     /// Returns false after refusing the request because the allowance is used up.
     bool reserve_allowance(const scheduling::credit_request& request, steady_time now);
+    /// Returns false after refusing the request because of a quarantined prompt part.
+    bool check_quarantine(const scheduling::credit_request& request, steady_time now);
+    void refuse_quarantined(const scheduling::credit_request& request,
+                            std::chrono::milliseconds retry_after);
+    void note_answer(const issued_credit& entry, steady_time now);
     void spend_allowance(const std::string& request_id, steady_time now);
     /// Removes the charge of a request and returns its tokens if they are unspent or it did not
     /// run.
@@ -106,7 +114,9 @@
     peer_sender& sender_;
     decision_log& decisions_;
     failure_domain_lookup lookup_;
-    scheduling::allowance_table* allowances_;                   ///< null: accounts have no limits
+    scheduling::allowance_table* allowances_; ///< null: accounts have no limits
+    quarantine_table* quarantine_;            ///< null: no request is refused because of its prompt
+    std::uint64_t applied_quarantine_changes_ = 0;
     std::unordered_map<std::string, allowance_charge> charges_; ///< by request id
     std::string credit_prefix_; ///< random, so that credit ids of two granters differ
     std::uint64_t next_credit_ = 1;
--- a/src/granting/internal/granter_messages.cpp
+++ b/src/granting/internal/granter_messages.cpp
@@ -36,7 +36,7 @@
                "refusal");
         return;
     }
-    if (!reserve_allowance(request, now)) {
+    if (!check_quarantine(request, now) || !reserve_allowance(request, now)) {
         return;
     }
     auto result = scheduling::enqueue(queue, request, slots_at(now), now);
--- /dev/null
+++ b/src/granting/internal/quarantine_messages.cpp
@@ -0,0 +1,95 @@
+#include "granting/internal/quarantine_messages.h"
+
+#include <algorithm>
+
+namespace almondline::granting {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds max_age{std::chrono::hours{24}};
+
+std::int64_t age_of(steady_time then, steady_time now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - then).count();
+}
+
+milliseconds read_time(std::int64_t ms)
+{
+    return milliseconds{std::clamp<std::int64_t>(ms, -max_age.count(), max_age.count())};
+}
+
+milliseconds read_age(std::int64_t ms)
+{
+    return std::max(milliseconds{0}, read_time(ms));
+}
+
+} // namespace
+
+wire::envelope make_decisions_message(const std::string& service,
+                                      const std::vector<quarantine_decision>& decisions,
+                                      steady_time now)
+{
+    wire::quarantine_message out;
+    out.service_name = service;
+    for (const auto& it : decisions) {
+        wire::part_decision decision;
+        decision.part = static_cast<std::int64_t>(it.part);
+        decision.quarantined = it.is_quarantined;
+        decision.decided_ms_ago = age_of(it.decided_at, now);
+        decision.seen_ms_ago = age_of(it.last_seen, now);
+        decision.trial_in_ms = -age_of(it.next_trial, now);
+        decision.trial_interval_ms = it.trial_interval.count();
+        out.decisions.push_back(decision);
+    }
+    wire::envelope message;
+    message.__set_quarantine(out);
+    return message;
+}
+
+wire::envelope make_crash_message(const std::string& service, const crash_evidence& crash)
+{
+    wire::server_crash event;
+    event.backend_id = crash.backend_id;
+    event.prompt_parts.assign(crash.parts.begin(), crash.parts.end());
+    wire::quarantine_message out;
+    out.service_name = service;
+    out.__set_crashes({event});
+    wire::envelope message;
+    message.__set_quarantine(out);
+    return message;
+}
+
+std::vector<quarantine_decision> read_decisions(const wire::quarantine_message& message,
+                                                steady_time now)
+{
+    std::vector<quarantine_decision> out;
+    for (const auto& it : message.decisions) {
+        quarantine_decision decision;
+        decision.part = static_cast<prompt_part>(it.part);
+        decision.is_quarantined = it.quarantined;
+        decision.decided_at = now - read_age(it.decided_ms_ago);
+        decision.last_seen = now - read_age(it.seen_ms_ago);
+        decision.next_trial = now + read_time(it.trial_in_ms);
+        decision.trial_interval = read_age(it.trial_interval_ms);
+        out.push_back(decision);
+    }
+    return out;
+}
+
+std::vector<crash_evidence> read_crashes(const wire::quarantine_message& message)
+{
+    std::vector<crash_evidence> out;
+    for (const auto& it : message.crashes) {
+        out.push_back({it.backend_id, {it.prompt_parts.begin(), it.prompt_parts.end()}});
+    }
+    return out;
+}
+
+crash_evidence read_crash(const wire::release_message& message)
+{
+    return {message.backend_id, {message.crashed_parts.begin(), message.crashed_parts.end()}};
+}
+
+} // namespace almondline::granting
--- a/src/granting/pools.cpp
+++ b/src/granting/pools.cpp
@@ -56,7 +56,13 @@
 pools::pools(std::string instance_id, const clock_source& clock, peer_sender& sender,
              decision_log& decisions, failure_domain_lookup lookup, pools_settings settings)
     : instance_id_{std::move(instance_id)}, settings_{std::move(settings)}, clock_{clock},
-      sender_{sender}, decisions_{decisions}, lookup_{std::move(lookup)}
+      sender_{sender}, decisions_{decisions}, lookup_{std::move(lookup)},
+      quarantines_{instance_id_,
+                   clock,
+                   sender,
+                   [this](const std::string& service) { return owners_of_service(service); },
+                   [this](const std::string& pool) { return service_of_own(pool); },
+                   settings_.quarantines}
 {
 }
 
@@ -119,6 +125,10 @@
 void pools::update_ownership(const std::vector<membership::member>& members)
 {
     members_ = members;
+    std::vector<std::string> ids;
+    std::transform(members.begin(), members.end(), std::back_inserter(ids),
+                   [](const auto& it) { return it.id; });
+    quarantines_.set_members(std::move(ids));
     assign_pools();
 }
 
@@ -255,9 +265,9 @@
     granter_settings settings = settings_.granter;
     settings.instance_id = instance_id_;
     settings.pool = slice.pool;
-    auto created =
-        std::make_unique<granter>(settings, make_config(*slice.service->policy), clock_, sender_,
-                                  decisions_, lookup_, &allowances_of(slice.pool));
+    auto created = std::make_unique<granter>(
+        settings, make_config(*slice.service->policy), clock_, sender_, decisions_, lookup_,
+        &allowances_of(slice.pool), &quarantines_.table_of(slice.service->policy->name));
     created->replicas().rate_share = allowance_share_;
     update_allowances(slice);
     update_replicas(*created, slice);
@@ -382,10 +392,14 @@
     for (auto& [name, granter] : granters_) {
         granter->tick(now);
     }
+    quarantines_.tick(now);
 }
 
 void pools::handle(const std::string& from, const wire::envelope& message)
 {
+    if (quarantines_.handle(message)) {
+        return;
+    }
     for (auto& [name, granter] : granters_) {
         granter->handle(from, message);
     }
@@ -398,6 +412,34 @@
     }
 }
 
+std::string pools::service_of_own(const std::string& pool) const
+{
+    const auto all = all_pools();
+    const auto it = std::find_if(all.begin(), all.end(), [&](const auto& slice) {
+        return slice.pool == pool && granters_.count(pool) != 0;
+    });
+    return it == all.end() ? std::string{} : it->service->policy->name;
+}
+
+std::vector<std::string> pools::owners_of_service(const std::string& service) const
+{
+    std::set<std::string> out;
+    for (const auto& it : all_pools()) {
+        const auto owner = owner_of(it.pool).instance_id;
+        if (it.service->policy->name == service && !owner.empty()) {
+            out.insert(owner);
+        }
+    }
+    return {out.begin(), out.end()};
+}
+
+std::optional<std::chrono::milliseconds> pools::quarantine_wait(const std::string& service,
+                                                                const prompt_parts& parts) const
+{
+    const auto* table = quarantines_.find_table(service);
+    return table == nullptr ? std::nullopt : granting::quarantine_wait(*table, parts, clock_.now());
+}
+
 std::vector<listed_instance> pools::owned_engines() const
 {
     std::set<std::string> owned;
--- a/src/granting/pools.h
+++ b/src/granting/pools.h
@@ -3,13 +3,17 @@
 #include "granting/credit_client.h"
 #include "granting/granter.h"
 #include "granting/pool_owner.h"
+#include "granting/quarantine_exchange.h"
 #include "granting/slices.h"
 #include "manifest/types/manifest.h"
 #include "membership/types/member.h"
 #include "store/instance_list.h"
 
+#include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +27,7 @@
     /// allowances are counted in one place. Otherwise the owner of each pool is chosen separately.
     bool has_common_owner = false;
     slice_settings slices;
+    quarantine_exchange_settings quarantines;
 };
 
 /// Manages the granters of the pools that this instance owns, following changes of the members, the
@@ -56,6 +61,11 @@
     /// service's only pool, or two of the account's slices if the service is divided.
     std::vector<std::string> pools_of(const std::string& service, const std::string& account,
                                       const std::string& request_id) const;
+    /// Returns how long a request has to wait because of quarantined parts of its prompt; nothing
+    /// if it may run.
+    std::optional<std::chrono::milliseconds> quarantine_wait(const std::string& service,
+                                                             const prompt_parts& parts) const;
+    std::size_t quarantined_prompts() const { return quarantines_.quarantined_count(); }
     /// Returns the backend servers of the model services' pools that this instance owns.
     std::vector<listed_instance> owned_engines() const;
     const std::map<std::string, std::unique_ptr<granter>>& granters() const { return granters_; }
@@ -76,6 +86,10 @@
 
     /// Returns the pools of all services, including those that other instances own.
     std::vector<pool_slice> all_pools() const;
+    /// Returns an empty string if this instance does not own the pool.
+    std::string service_of_own(const std::string& pool) const;
+    /// Returns the instances that own pools of the service.
+    std::vector<std::string> owners_of_service(const std::string& service) const;
     void divide_services();
     std::map<std::string, pool_owner_id> choose_owners() const;
     /// Recomputes the owners, and creates and removes granters accordingly.
@@ -111,6 +125,7 @@
     bool has_table_per_pool_ = false; ///< set while a service is divided
     /// By pool, or a single common one while no service is divided. Granters refer to them.
     std::map<std::string, scheduling::allowance_table> allowance_tables_;
+    quarantine_exchange quarantines_;                          ///< granters refer to its tables
     std::map<std::string, std::unique_ptr<granter>> granters_; ///< by pool
 };
 
--- /dev/null
+++ b/src/granting/tests/quarantine_test.cpp
@@ -0,0 +1,218 @@
+#include "granting/quarantine.h"
+
+#include <doctest/doctest.h>
+
+using namespace almondline;
+using namespace almondline::granting;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr prompt_part deadly = 7;
+constexpr prompt_part before = 1;
+constexpr prompt_part after = 9;
+
+/// A table at a time that the test moves on. Each crash hits another server.
+struct scenario {
+    std::vector<prompt_part> crash(const prompt_parts& parts, std::chrono::milliseconds wait = 0ms)
+    {
+        now += wait;
+        return note_crash(table, {"b" + std::to_string(next++), parts}, now);
+    }
+
+    std::vector<prompt_part> answer(const prompt_parts& parts)
+    {
+        return note_answer(table, parts, now);
+    }
+
+    bool is_refused(const prompt_parts& parts) { return admit(table, parts, now).has_value(); }
+
+    quarantine_table table;
+    steady_time now{1h};
+    int next = 0;
+};
+
+} // namespace
+
+TEST_CASE("a part is quarantined after three crashes, its neighbours go on")
+{
+    scenario s;
+    s.answer({before, after});
+    CHECK(s.crash({before, deadly, after}).empty());
+    CHECK(s.crash({before, deadly, 20}).empty());
+    CHECK(!s.is_refused({deadly}));
+    CHECK(s.crash({deadly, after}) == std::vector{deadly});
+    CHECK(s.is_refused({before, deadly, after}));
+    CHECK(s.is_refused({30, deadly}));
+    CHECK(!s.is_refused({before, after}));
+    CHECK(!s.is_refused({20}));
+}
+
+TEST_CASE("a crash that several requests of one server report counts once")
+{
+    scenario s;
+    for (int n = 0; n < 5; ++n) {
+        CHECK(note_crash(s.table, {"b1", {deadly}}, s.now + n * 10ms).empty());
+    }
+    CHECK(!s.is_refused({deadly}));
+}
+
+TEST_CASE("an answer between crashes shows that a part is not the cause")
+{
+    scenario s;
+    s.crash({deadly});
+    s.crash({deadly});
+    s.answer({deadly});
+    CHECK(s.crash({deadly}, 3s).empty());
+    CHECK(!s.is_refused({deadly}));
+}
+
+TEST_CASE("servers that crash at once for another reason quarantine no part in use")
+{
+    scenario s;
+    s.answer({before});
+    for (int n = 0; n < 10; ++n) {
+        CHECK(s.crash({before}).empty());
+    }
+    s.answer({before});
+    CHECK(!s.is_refused({before}));
+}
+
+TEST_CASE("a part that was answered before is quarantined if only crashes follow")
+{
+    scenario s;
+    s.answer({deadly});
+    CHECK(s.crash({deadly}, 1s).empty());
+    CHECK(s.crash({deadly}, 900ms).empty());
+    CHECK(s.crash({deadly}, 900ms).empty());
+    CHECK(s.crash({deadly}, 900ms) == std::vector{deadly});
+}
+
+TEST_CASE("crashes that a quarantined part explains do not count against other parts")
+{
+    scenario s;
+    s.crash({deadly, 31});
+    s.crash({deadly});
+    s.crash({deadly});
+    CHECK(s.is_refused({deadly}));
+    // Requests that ran on the same servers report later, and so do trials.
+    note_crash(s.table, {"b1", {31}}, s.now);
+    note_crash(s.table, {"b2", {31}}, s.now);
+    for (int n = 0; n < 5; ++n) {
+        s.crash({deadly, 31}, 10s);
+    }
+    CHECK(!s.is_refused({31}));
+}
+
+TEST_CASE("parts that always came together are told apart by one request")
+{
+    scenario s;
+    for (int n = 0; n < 3; ++n) {
+        s.crash({deadly, after});
+    }
+    CHECK(s.is_refused({deadly, after}));
+    CHECK(!s.is_refused({after}));
+    CHECK(s.is_refused({after})); // a second trial does not start beside the first
+    CHECK(s.answer({after}) == std::vector{after});
+    CHECK(!s.is_refused({after}));
+    CHECK(s.is_refused({deadly, after}));
+    CHECK(s.is_refused({deadly}));
+}
+
+TEST_CASE("one trial at a time, at intervals that grow with each crash")
+{
+    scenario s;
+    for (int n = 0; n < 3; ++n) {
+        s.crash({deadly});
+    }
+    int trials = 0;
+    for (const auto end = s.now + 30min; s.now < end; s.now += 1s) {
+        if (!s.is_refused({deadly})) {
+            ++trials;
+            s.crash({deadly});
+        }
+    }
+    CHECK(trials == 2);
+    CHECK(!s.is_refused({40}));
+}
+
+TEST_CASE("a trial that never reached a server is repeated soon")
+{
+    scenario s;
+    for (int n = 0; n < 3; ++n) {
+        s.crash({deadly});
+    }
+    s.now += s.table.settings.first_trial_after;
+    CHECK(!s.is_refused({deadly}));
+    s.now += s.table.settings.trial_timeout;
+    CHECK(!s.is_refused({deadly}));
+    s.crash({deadly});
+    s.now += s.table.settings.trial_timeout;
+    CHECK(s.is_refused({deadly}));
+}
+
+TEST_CASE("a trial that is answered ends the quarantine")
+{
+    scenario s;
+    for (int n = 0; n < 3; ++n) {
+        s.crash({deadly});
+    }
+    s.now += s.table.settings.first_trial_after;
+    REQUIRE(!s.is_refused({deadly}));
+    CHECK(s.answer({deadly}) == std::vector{deadly});
+    CHECK(!s.is_refused({deadly}));
+}
+
+TEST_CASE("a part is forgotten only when no request with it arrives any more")
+{
+    scenario s;
+    for (int n = 0; n < 3; ++n) {
+        s.crash({deadly});
+    }
+    s.table.settings.first_trial_after = 24h;
+    s.table.decisions.at(deadly).next_trial = s.now + 24h;
+    for (int n = 0; n < 300; ++n) {
+        s.now += 1min;
+        prune(s.table, s.now);
+        REQUIRE(s.is_refused({deadly}));
+    }
+    s.now += s.table.settings.forget_after + 1s;
+    prune(s.table, s.now);
+    CHECK(!s.is_refused({deadly}));
+}
+
+TEST_CASE("the memory is bounded when each crash names new parts")
+{
+    scenario s;
+    s.table.settings.max_suspects = 50;
+    s.table.settings.max_decisions = 10;
+    s.table.settings.max_sound_parts = 100;
+    for (prompt_part n = 0; n < 3'000; ++n) {
+        s.answer({1'000'000 + n});
+        s.crash({n / 3}, 10ms);
+    }
+    CHECK(s.table.suspects.size() <= 50);
+    CHECK(s.table.decisions.size() <= 10);
+    CHECK(s.table.sound.size() + s.table.sound_before.size() <= 200);
+    CHECK(s.is_refused({999}));
+}
+
+TEST_CASE("the newest decision of all instances holds")
+{
+    scenario one;
+    scenario two;
+    two.now = one.now;
+    for (int n = 0; n < 3; ++n) {
+        one.crash({deadly});
+    }
+    const auto known = one.table.decisions.at(deadly);
+    CHECK(apply_decision(two.table, known, two.now));
+    CHECK(two.is_refused({deadly}));
+    CHECK(!apply_decision(two.table, known, two.now));
+    two.now += 1s;
+    two.answer({deadly});
+    CHECK(!apply_decision(two.table, known, two.now));
+    CHECK(!two.is_refused({deadly}));
+    CHECK(apply_decision(one.table, two.table.decisions.at(deadly), two.now));
+    CHECK(!one.is_refused({deadly}));
+}
--- a/src/granting/types/credit.h
+++ b/src/granting/types/credit.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/types/verdict.h"
+#include "granting/types/quarantine_types.h"
 #include "scheduling/types/credit_request.h"
 
 #include <chrono>
@@ -50,6 +51,8 @@
     std::chrono::milliseconds duration{0};    ///< from dispatch to completion; 0 if not known
     double prompt_tokens = 0;
     double output_tokens = 0;
+    /// The backend server crashed when it started to answer: the shared parts of the prompt.
+    prompt_parts crashed_parts;
     bool is_server_leaving = false; ///< announced by the backend server in its response
 };
 
@@ -65,6 +68,8 @@
 inline constexpr std::string_view code_no_granter = "no-granter"; ///< the pool has no owner
 /// The account has used up its allowance of tokens.
 inline constexpr std::string_view code_allowance = "allowance-used-up";
+/// Requests with the same prompt part crashed several backend servers.
+inline constexpr std::string_view code_quarantined = "prompt-quarantined";
 inline constexpr std::string_view code_deadline_passed = "deadline-passed";
 
 } // namespace almondline::granting
--- a/src/peer/envelope_kind.h
+++ b/src/peer/envelope_kind.h
@@ -38,10 +38,11 @@
     drain,
     servers_request,
     servers,
-    server_report
+    server_report,
+    quarantine
 };
 
-constexpr std::size_t envelope_kind_count = 25;
+constexpr std::size_t envelope_kind_count = 26;
 
 /// Returns the first field that is set, or none.
 envelope_kind kind_of(const wire::envelope& message);
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -43,6 +43,8 @@
                      message.grant.candidates.size(), message.holdings.holdings.size(),
                      message.explained.lines.size(), message.demand.loads.size(),
                      message.demand.replicas.size(), message.drain.replicas.size(),
+                     message.ask.prompt_parts.size(), message.release.crashed_parts.size(),
+                     message.quarantine.decisions.size(), message.quarantine.crashes.size(),
                      max_model_list_size(message.demand)});
 }
 
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -80,6 +80,8 @@
   17: optional i64 complete_ms,
   // Prompt tokens up to the end of each prefix block. If unset, all blocks have the same size.
   18: optional list<i32> prefix_tokens,
+  // Ids of the parts of the prompt that other requests may share, whatever comes before them.
+  19: optional list<i64> prompt_parts,
 }
 
 struct grant_message {
@@ -126,6 +128,8 @@
   10: optional string backend_id,
   // The backend server announced in its response that it is leaving.
   11: optional bool server_leaving,
+  // The backend server crashed when it started to answer the request: the request's prompt parts.
+  12: optional list<i64> crashed_parts,
 }
 
 struct cancel_message {
@@ -298,6 +302,33 @@
   5: optional bool unreliable,
 }
 
+// A crash of a backend server while it started to answer a request with these prompt parts.
+struct server_crash {
+  1: required string backend_id,
+  2: required list<i64> prompt_parts,
+}
+
+// Whether requests with a prompt part are kept away from the backend servers of a service. Times
+// are relative to the moment of sending.
+struct part_decision {
+  1: required i64 part,
+  2: required bool quarantined,
+  3: required i64 decided_ms_ago,
+  // Time since a request with the part last arrived.
+  4: required i64 seen_ms_ago,
+  // Time until one request with the part may run as a trial; negative if it is due.
+  5: required i64 trial_in_ms,
+  6: required i64 trial_interval_ms,
+}
+
+// Sent to some instances every second while a decision is in force, and at once when one is made.
+struct quarantine_message {
+  1: required string service_name,
+  2: required list<part_decision> decisions,
+  // For the granters of the service's other slices.
+  3: optional list<server_crash> crashes,
+}
+
 // Exactly one field is set.
 union envelope {
   1: hello greeting,
@@ -324,4 +355,5 @@
   22: server_list_request servers_request,
   23: server_list_reply servers,
   24: server_report_message server_report,
+  25: quarantine_message quarantine,
 }
