Don't take a stream without events that ends with its connection as complete

A response may have neither a length nor chunks and end with its connection. One that ended before its first event was passed on as a complete, empty answer with status 200, although a replica that crashes as it starts to answer ends its connection just so.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -178,6 +178,11 @@
     return ec == asio::error::would_block;
 }
 
+bool http_connection::is_ended_by_close() const
+{
+    return state_->parser && state_->parser->need_eof();
+}
+
 void http_connection::stop_writing()
 {
     boost::system::error_code ec;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -65,6 +65,9 @@
     /// True if the last response was read to its end, the server keeps the connection open, and no
     /// byte has arrived since: bytes after a response belong to no request.
     bool is_reusable();
+    /// True if the last response has neither a length nor chunks, so that only the end of the
+    /// connection marks its end.
+    bool is_ended_by_close() const;
     /// Aborts a write_request() in progress. The connection can't be used for another request.
     void stop_writing();
     /// Closes the connection if sent bytes stay unacknowledged for this time (TCP_USER_TIMEOUT), to
--- a/tests/platform_standins/replica.py
+++ b/tests/platform_standins/replica.py
@@ -1,5 +1,6 @@
 """Stand-in for a replica of the users' platform: plain requests and event streams."""
 
+import os
 import socket
 import struct
 import threading
@@ -21,19 +22,18 @@
         self.server = None
 
     def crash(self, seconds):
-        """Resets all connections and refuses new ones for some seconds."""
+        """Closes all connections and refuses new ones for some seconds."""
         self.crashes.append(time.monotonic())
         port = self.server.server_address[1]
         self.server.socket.close()
         threading.Thread(target=self.server.shutdown, daemon=True).start()
         for it in list(self.connections):
-            reset(it)
+            disconnect(it)
         threading.Timer(seconds, serve, (self, port)).start()
 
 
-def reset(connection):
+def disconnect(connection):
     try:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         # shutdown() wakes a thread that reads from the connection; close() would not.
         connection.shutdown(socket.SHUT_RDWR)
         connection.close()
@@ -41,6 +41,12 @@
         pass  # it was closed already
 
 
+def reset(connection):
+    """Resets a connection that no other thread uses."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    os.close(connection.detach())
+
+
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     replica = None
