--- a/src/fleet/node_metrics.cpp
+++ b/src/fleet/node_metrics.cpp
@@ -18,6 +18,8 @@
     set("failed", calls.failed);
     set("held-back", calls.throttled);
     set("lost-answer", calls.lost_answers);
+    set("history-gone", calls.history_gone);
+    metrics.set("almondline_store_restores_total", {}, static_cast<double>(calls.restores));
 }
 
 void report_traffic(metrics_registry& metrics, const peer::peer_counters& traffic)
--- a/src/store/types/store_limits.h
+++ b/src/store/types/store_limits.h
@@ -28,6 +28,8 @@
     std::uint64_t lease_calls = 0;
     std::uint64_t failed = 0;       ///< calls without a usable response
     std::uint64_t throttled = 0;    ///< calls refused by a limit of this client, not sent
+    std::uint64_t history_gone = 0; ///< watches whose history the service no longer has
+    std::uint64_t restores = 0;     ///< times that the service returned from an older copy
     std::uint64_t lost_answers = 0; ///< writes that may have taken effect
 };
 
