--- a/tests/platform_standins/metadata_store.py
+++ b/tests/platform_standins/metadata_store.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's metadata store: keys with revisions, watches, transactions, leases."""
 
 import base64
+import copy
 import json
 import threading
 import time
@@ -18,8 +19,22 @@
         self.leases = {}
         self.next_lease = 1
         self.is_down = False
+        self.era = 1
         self.calls = {}
 
+    def copy(self):
+        with self.lock:
+            return copy.deepcopy((self.revision, self.items, self.events, self.oldest_event,
+                                  self.leases, self.next_lease))
+
+    def restore(self, saved):
+        """Returns to a copy. Its revisions and lease ids are given out again."""
+        with self.lock:
+            (self.revision, self.items, self.events, self.oldest_event,
+             self.leases, self.next_lease) = copy.deepcopy(saved)
+            self.era += 1
+            self.lock.notify_all()
+
     def put(self, key, value, lease=0):
         with self.lock:
             self._put(key, value.encode() if isinstance(value, str) else value, lease)
@@ -74,7 +89,7 @@
         after = int(query["after"])
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self.oldest_event:
+            if after < self.oldest_event or after > self.revision:
                 return 410, {}
             events = [it for it in self.events
                       if it["revision"] > after and it["key"].startswith(query["prefix"])]
@@ -143,6 +158,10 @@
         self.lock = store.lock
         self.is_blocked = False
 
+    @property
+    def era(self):
+        return self.store.era
+
     def answer(self, *call):
         return (503, {}) if self.is_blocked else self.store.answer(*call)
 
@@ -164,6 +183,7 @@
         text = json.dumps(answer).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
+        self.send_header("Store-Era", str(self.store.era))
         self.send_header("Content-Length", str(len(text)))
         self.end_headers()
         try:
