Compare positions of the store only within one era

What callers saw: after the store returned from an older copy, routes that were added got 404, changes of routes and keys were not in force, and servers that left went on getting requests (CONFIG, DENIED).

Cause: revisions were taken as ever increasing. The desired state's version was its revision, and the list of servers ignored reads below the highest revision seen, so everything after the restore was ignored until the revisions had caught up. Watches started from a revision that the store did not have; each 410 was followed by a read that found nothing newer and by the next watch, 250 calls a second in all. Class of fault: a position that another service gave out was kept beyond the life of what it refers to.

- Results of the store carry the era in which it answered.
Watch positions, the revision of the list of servers, the record of the desired state and the instance's lease belong to an era; a result of a later one starts anew with a read, one of an earlier era is ignored.
A text that states another version than its sender is refused.
A record of an earlier lease is replaced; before, the conflict was taken for a lost answer, and the record ended with its old lease.
- Instances that exchange the list of servers name the era, so neither takes the other back.

--- a/src/distribution/internal/pointer_watch.cpp
+++ b/src/distribution/internal/pointer_watch.cpp
@@ -21,37 +21,52 @@
     }
     is_pending_ = true;
     ++calls_;
+    // A watch doesn't report a missing record immediately, and can't start in another era.
+    const bool is_watch = is_read_ && store_.era() == era_;
     const std::weak_ptr<int> alive = alive_;
-    const auto handler = [this, alive](const get_result& answer) {
+    const auto handler = [this, alive, is_watch](const get_result& answer) {
         if (!alive.expired()) {
-            on_answer(answer);
+            on_answer(answer, is_watch);
         }
     };
-    if (is_read_) {
+    if (is_watch) {
         store_.watch(config_.key, revision_, config_.wait, handler);
     }
     else {
-        store_.get(config_.key, handler); // a watch doesn't report a missing record immediately
+        store_.get(config_.key, handler);
     }
 }
 
-void pointer_watch::on_answer(const get_result& answer)
+void pointer_watch::end_call()
+{
+    is_read_ = true;
+    is_pending_ = false;
+    backoff_ = std::chrono::milliseconds{0};
+}
+
+void pointer_watch::on_answer(const get_result& answer, bool is_watch)
 {
     if (answer.status == get_status::failed) {
         back_off(answer.message);
         return;
     }
-    if (answer.status != get_status::found || answer.revision <= revision_) {
-        is_read_ = true;
-        is_pending_ = false;
+    const bool is_new_era = answer.era > era_;
+    if (answer.era < era_ || (is_new_era && is_watch)) {
+        end_call();
+        return;
+    }
+    const bool is_news = is_new_era || answer.revision > revision_;
+    if (answer.status != get_status::found || !is_news) {
+        era_ = answer.era;
+        revision_ = is_new_era ? 0 : revision_;
+        end_call();
         if (answer.status == get_status::missing) {
             next_try_ = clock_.now() + config_.missing_interval;
         }
-        backoff_ = std::chrono::milliseconds{0};
         return;
     }
     const std::weak_ptr<int> alive = alive_;
-    handler_(answer, [this, alive, revision = answer.revision](bool is_used) {
+    handler_(answer, [this, alive, revision = answer.revision, era = answer.era](bool is_used) {
         if (alive.expired()) {
             return;
         }
@@ -59,10 +74,9 @@
             back_off("the record or its body could not be used");
             return;
         }
-        is_read_ = true;
         revision_ = revision;
-        is_pending_ = false;
-        backoff_ = std::chrono::milliseconds{0};
+        era_ = era;
+        end_call();
     });
 }
 
--- a/src/distribution/internal/pointer_watch.h
+++ b/src/distribution/internal/pointer_watch.h
@@ -42,7 +42,8 @@
     std::uint64_t failures() const { return failures_; }
 
 private:
-    void on_answer(const get_result& answer);
+    void on_answer(const get_result& answer, bool is_watch);
+    void end_call();
     void back_off(const std::string& cause);
 
     key_value_store& store_;
@@ -52,6 +53,7 @@
     record_handler handler_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0); ///< lets handlers detect destruction
     std::uint64_t revision_ = 0;                            ///< last record that was used
+    std::uint64_t era_ = 0; ///< of the store, to which revision_ belongs
     std::chrono::milliseconds backoff_{0};
     steady_time next_try_;
     bool is_pending_ = false;
--- a/src/fleet/registration.cpp
+++ b/src/fleet/registration.cpp
@@ -1,7 +1,10 @@
 #include "fleet/registration.h"
 
+#include "common/hash.h"
 #include "common/log.h"
 
+#include <algorithm>
+
 namespace almondline::fleet {
 
 registration::registration(registration_settings settings, key_value_store& store,
@@ -12,7 +15,13 @@
 
 void registration::tick(steady_time now)
 {
-    if (is_calling_ || is_withdrawn_ || now < next_call_) {
+    if (is_calling_ || is_withdrawn_) {
+        return;
+    }
+    if (!lease_id_.empty() && store_.era() != lease_era_) {
+        restart_after_restore(now);
+    }
+    if (now < next_call_) {
         return;
     }
     is_calling_ = true;
@@ -27,6 +36,19 @@
     }
 }
 
+/// The lease may be gone, or its id may belong to another instance now. The instances write their
+/// records again one after the other, so that the store's rates suffice for large fleets.
+void registration::restart_after_restore(steady_time now)
+{
+    lease_id_.clear();
+    is_written_ = false;
+    const auto spread = settings_.restore_interval * std::max<std::size_t>(1, fleet_size_);
+    const auto share = stable_hash(settings_.key) % static_cast<std::uint64_t>(spread.count());
+    next_call_ = now + std::chrono::milliseconds{share};
+    log_event("fleet", log_level::info, "registration-restarted",
+              {{"key", settings_.key}, {"previous_era", lease_era_}, {"era", store_.era()}});
+}
+
 void registration::request_lease()
 {
     const std::weak_ptr<int> alive = alive_;
@@ -40,30 +62,40 @@
             return;
         }
         lease_id_ = result.lease_id;
+        lease_era_ = result.era;
     });
 }
 
 void registration::write()
 {
     const std::weak_ptr<int> alive = alive_;
-    // Only this process writes the key, so a conflict means that an earlier write succeeded and its
-    // response was lost.
     const auto handler = [this, alive](const put_result& result) {
-        if (alive.expired()) {
-            return;
-        }
-        is_calling_ = false;
-        if (result.status != put_status::done && result.status != put_status::conflict) {
-            lease_id_.clear();
-            on_failure("write", result.message);
-            return;
+        if (!alive.expired()) {
+            on_written(result);
         }
-        is_written_ = true;
-        has_failed_ = false;
-        next_call_ = clock_.now() + settings_.renew_interval;
-        log_event("fleet", log_level::info, "registered", {{"key", settings_.key}});
     };
-    store_.compare_and_swap(settings_.key, 0, settings_.value, lease_id_, handler);
+    store_.compare_and_swap(settings_.key, record_revision_, settings_.value, lease_id_, handler);
+}
+
+/// Only this process writes the key. After a conflict the record may still belong to an earlier
+/// lease, so it is written again with the current one.
+void registration::on_written(const put_result& result)
+{
+    is_calling_ = false;
+    if (result.status == put_status::conflict && result.revision != record_revision_) {
+        record_revision_ = result.revision;
+        return;
+    }
+    if (result.status != put_status::done) {
+        lease_id_.clear();
+        on_failure("write", result.message);
+        return;
+    }
+    record_revision_ = 0;
+    is_written_ = true;
+    has_failed_ = false;
+    next_call_ = clock_.now() + settings_.renew_interval;
+    log_event("fleet", log_level::info, "registered", {{"key", settings_.key}});
 }
 
 void registration::renew()
@@ -100,7 +132,7 @@
 void registration::withdraw()
 {
     is_withdrawn_ = true;
-    if (!lease_id_.empty()) {
+    if (!lease_id_.empty() && store_.era() == lease_era_) {
         store_.revoke_lease(lease_id_, [](const lease_result&) {});
     }
 }
--- a/src/fleet/replica_registry.cpp
+++ b/src/fleet/replica_registry.cpp
@@ -33,9 +33,16 @@
     if (is_same_process && known.is_gone && known.info.is_leaving) {
         return false;
     }
+    const bool is_old_report = server.report_number <= known.info.report_number;
+    if (is_same_process && known.is_gone && registry.was_restored && is_old_report) {
+        return false;
+    }
     auto next = server;
     next.is_leaving = next.is_leaving || (is_same_process && known.info.is_leaving);
+    next.report_number = is_same_process ? std::max(next.report_number, known.info.report_number)
+                                         : next.report_number;
     if (!is_new && !known.is_gone && is_same(known.info, next)) {
+        known.info.report_number = next.report_number;
         return false;
     }
     known = {next, false, {}, is_same_process ? known.backoff_until : steady_time{}};
@@ -76,6 +83,18 @@
 
 } // namespace
 
+void start_era(replica_registry& registry, std::uint64_t era, steady_time now)
+{
+    const bool is_restore = registry.era != 0;
+    registry.era = era;
+    if (!is_restore) {
+        return;
+    }
+    registry.revision = 0;
+    registry.was_restored = true;
+    start_return_grace(registry, now);
+}
+
 bool apply_read(replica_registry& registry, const std::vector<listed_instance>& servers,
                 std::uint64_t revision, steady_time now)
 {
--- a/src/fleet/replica_registry.h
+++ b/src/fleet/replica_registry.h
@@ -32,11 +32,17 @@
 struct replica_registry {
     registry_settings settings;
     std::map<std::string, registered_replica> replicas; ///< by id
+    std::uint64_t era = 0;       ///< of the list's service, to which the revision belongs
     std::uint64_t revision = 0;  ///< of the last read or change that was applied
+    bool was_restored = false;   ///< the service has returned from an older copy
     steady_time backoff_until{}; ///< latest value of all replicas
     steady_time complete_from{}; ///< before this time a missing entry may merely have expired
 };
 
+/// Must be called before the first read of a later era is applied. Entries may be missing, or be
+/// older than those known, until their servers have written them again.
+void start_era(replica_registry& registry, std::uint64_t era, steady_time now);
+
 /// Applies a complete read of the list, and returns true if anything changed. A read older than the
 /// last one is ignored. A server that is leaving, or left after it announced so, comes back only
 /// with a later incarnation.
--- a/src/fleet/server_list.cpp
+++ b/src/fleet/server_list.cpp
@@ -4,6 +4,7 @@
 #include "peer/wire.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondline::fleet {
 
@@ -27,6 +28,7 @@
     out.incarnation = it.incarnation;
     out.max_in_flight = it.max_in_flight;
     out.leaving = it.is_leaving;
+    out.__set_report_number(it.report_number);
     return out;
 }
 
@@ -41,6 +43,7 @@
     out.incarnation = it.incarnation;
     out.max_in_flight = it.max_in_flight;
     out.is_leaving = it.leaving;
+    out.report_number = it.report_number;
     return out;
 }
 
@@ -110,7 +113,8 @@
     is_calling_ = true;
     next_call_ = now + retry_interval();
     ++latest_call_;
-    if (needs_read_ || (has_skipped_removals_ && is_complete(registry_, now))) {
+    const bool is_other_era = source_.health().era != registry_.era;
+    if (needs_read_ || is_other_era || (has_skipped_removals_ && is_complete(registry_, now))) {
         start_read();
     }
     else {
@@ -173,7 +177,14 @@
         note_failure(result.message);
         return;
     }
+    if (result.era < registry_.era) {
+        return; // the answer is older than the restore
+    }
     note_success(now);
+    if (result.era > registry_.era) {
+        start_era(registry_, result.era, now);
+        watched_revision_ = 0;
+    }
     watched_revision_ = std::max(watched_revision_, result.revision);
     needs_read_ = false;
     has_skipped_removals_ = !is_complete(registry_, now);
@@ -200,6 +211,11 @@
         return;
     }
     note_success(now);
+    if (result.era != registry_.era) {
+        needs_read_ = true;
+        next_call_ = now;
+        return;
+    }
     if (result.status == watch_status::history_gone) {
         return;
     }
@@ -253,6 +269,7 @@
     // Only a reply with the whole list reveals the removals that were skipped.
     request.known_revision =
         has_skipped_removals_ ? 0 : static_cast<std::int64_t>(registry_.revision);
+    request.__set_known_era(static_cast<std::int64_t>(registry_.era));
     wire::envelope message;
     message.__set_servers_request(request);
     callbacks_.send(peers[next_peer_++ % peers.size()], message);
@@ -271,7 +288,7 @@
 bool server_list::handle(const std::string& from, const wire::envelope& message, steady_time now)
 {
     if (message.__isset.servers_request) {
-        send_reply(from, message.servers_request.known_revision, now);
+        send_reply(from, message.servers_request, now);
         return true;
     }
     if (message.__isset.servers) {
@@ -283,7 +300,8 @@
 
 /// Includes the servers only if this instance knows that its list is complete. Otherwise the other
 /// instance would drop servers whose entries merely expired.
-void server_list::send_reply(const std::string& to, std::int64_t known_revision, steady_time now)
+void server_list::send_reply(const std::string& to, const wire::server_list_request& request,
+                             steady_time now)
 {
     if (!is_known()) {
         return;
@@ -291,9 +309,12 @@
     const bool is_reliable = !is_failing_ && is_complete(registry_, now);
     wire::server_list_reply reply;
     reply.revision = static_cast<std::int64_t>(registry_.revision);
+    reply.__set_era(static_cast<std::int64_t>(registry_.era));
     const auto known = std::max(last_success_, source_.health().last_answer);
     reply.age_ms = std::chrono::duration_cast<milliseconds>(now - known).count();
-    reply.unchanged = !is_reliable || reply.revision == known_revision;
+    const bool is_known_to_peer =
+        reply.era == request.known_era && reply.revision == request.known_revision;
+    reply.unchanged = !is_reliable || is_known_to_peer;
     if (!is_reliable) {
         reply.__set_unreliable(true);
     }
@@ -312,8 +333,10 @@
 {
     const auto& reply = message.servers;
     const auto revision = static_cast<std::uint64_t>(std::max<std::int64_t>(0, reply.revision));
+    const auto era = static_cast<std::uint64_t>(std::max<std::int64_t>(0, reply.era));
     follow_timeout_start_ = now;
-    if ((!is_failing_ && !is_following_) || revision < registry_.revision) {
+    const bool is_older = std::pair{era, revision} < std::pair{registry_.era, registry_.revision};
+    if ((!is_failing_ && !is_following_) || is_older) {
         return;
     }
     if (reply.unreliable) {
@@ -330,6 +353,10 @@
     std::vector<listed_instance> servers;
     std::transform(reply.servers.begin(), reply.servers.end(), std::back_inserter(servers),
                    from_wire);
+    if (era > registry_.era) {
+        start_era(registry_, era, now);
+        watched_revision_ = 0;
+    }
     has_skipped_removals_ = !is_complete(registry_, now);
     if (apply_read(registry_, servers, revision, now)) {
         log_event("fleet", log_level::info, "server-list-from-peer",
--- a/src/fleet/server_list.h
+++ b/src/fleet/server_list.h
@@ -12,7 +12,8 @@
 
 namespace almondline::wire {
 class envelope;
-}
+class server_list_request;
+} // namespace almondline::wire
 
 /// Keeps the platform's list of backend servers up to date: reads it once, then watches it, and
 /// requests it from other instances while it can't be reached. In a large fleet only some instances
@@ -86,7 +87,8 @@
     bool follow_watchers(const std::vector<std::string>& watchers, steady_time now);
     void send_request(const std::vector<std::string>& peers);
     void request_again_soon(steady_time now);
-    void send_reply(const std::string& to, std::int64_t known_revision, steady_time now);
+    void send_reply(const std::string& to, const wire::server_list_request& request,
+                    steady_time now);
     void handle_reply(const std::string& from, const wire::envelope& message, steady_time now);
     std::chrono::milliseconds retry_interval() const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -286,6 +286,7 @@
     const auto now = clock_.now();
     node_.tick(now);
     servers_.tick(now);
+    registration_.set_fleet_size(node_.member_count());
     registration_.tick(now);
     if (now >= next_member_poll_) {
         next_member_poll_ = now + member_interval();
--- a/src/manifest/manifest_state.cpp
+++ b/src/manifest/manifest_state.cpp
@@ -32,6 +32,10 @@
     if (!parsed) {
         return reject(version, source, to_string(error));
     }
+    if (parsed->version != 0 && parsed->version != version) {
+        return reject(version, source,
+                      "the text states version " + std::to_string(parsed->version));
+    }
     parsed->version = version;
     parsed->digest = digest;
     manifest_ = std::make_shared<const manifest>(std::move(*parsed));
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -278,6 +278,9 @@
 // receiver watches it for the sender.
 struct server_list_request {
   1: required i64 known_revision,
+  // Era of the list's service, to which the revision belongs. It rises when the service returns from
+  // an older copy.
+  2: optional i64 known_era,
 }
 
 struct listed_server {
@@ -288,6 +291,8 @@
   5: required i64 incarnation,
   6: required i32 max_in_flight,
   7: required bool leaving,
+  // Number of the server's last known report, 0 if unknown.
+  8: optional i64 report_number,
 }
 
 struct server_list_reply {
@@ -300,6 +305,8 @@
   4: required list<listed_server> servers,
   // The sender can't read the list, or is not sure that it is complete.
   5: optional bool unreliable,
+  // Era of the list's service, to which the revision belongs.
+  6: optional i64 era,
 }
 
 // A crash of a backend server while it started to answer a request with these prompt parts.
--- a/src/store/instance_list.h
+++ b/src/store/instance_list.h
@@ -24,15 +24,17 @@
     std::string peer_address; ///< entry instances: IP:PORT for other entry instances
     std::string failure_domain;
     bool is_leaving = false;
-    std::int64_t incarnation = 0; ///< process start, ms since the epoch; 0: unknown
-    int max_in_flight = 0;        ///< backend servers: concurrent requests; 0: as in the manifest
+    std::int64_t incarnation = 0;   ///< process start, ms since the epoch; 0: unknown
+    std::int64_t report_number = 0; ///< backend servers: of the reports of one process; 0: unknown
+    int max_in_flight = 0;          ///< backend servers: concurrent requests; 0: as in the manifest
 };
 
 struct instance_list_result {
     bool is_ok = false;
     std::uint64_t revision = 0; ///< increases with each change of the list; 0: unknown
     std::vector<listed_instance> instances;
-    std::string message; ///< cause of a failure
+    std::string message;   ///< cause of a failure
+    std::uint64_t era = 0; ///< see key_value_store::era()
 };
 
 /// The platform's list of live and leaving instances. It lags behind their actual state.
@@ -62,6 +64,7 @@
     std::uint64_t revision = 0;           ///< the next watch starts after it
     std::vector<instance_change> changes; ///< in order
     std::string message;                  ///< cause of a failure
+    std::uint64_t era = 0;                ///< see key_value_store::era()
 };
 
 /// An instance list that can be watched for changes.
--- a/src/store/key_range.h
+++ b/src/store/key_range.h
@@ -21,6 +21,7 @@
     bool is_ok = false;
     std::vector<stored_record> records;
     std::uint64_t revision = 0; ///< of the whole store at the read
+    std::uint64_t era = 0;      ///< see key_value_store::era()
     std::string message;        ///< cause of a failure
 };
 
@@ -32,6 +33,7 @@
 struct range_watch_result {
     watch_status status = watch_status::failed;
     std::uint64_t revision = 0;         ///< the next watch starts after it
+    std::uint64_t era = 0;              ///< see key_value_store::era()
     std::vector<record_change> changes; ///< in order
     std::string message;                ///< cause of a failure
 };
--- a/src/store/key_value_store.h
+++ b/src/store/key_value_store.h
@@ -17,8 +17,9 @@
 struct get_result {
     get_status status = get_status::failed;
     std::string value;
-    std::uint64_t revision = 0; ///< of the key, increases across the whole store
+    std::uint64_t revision = 0; ///< of the key, increases across the whole store within an era
     std::string message;        ///< cause of a failure
+    std::uint64_t era = 0;      ///< in which the service answered, see key_value_store::era()
 };
 
 enum class put_status {
@@ -39,6 +40,7 @@
     bool is_lost = false;    ///< the store reported that the lease no longer exists
     std::string lease_id;
     std::string message;
+    std::uint64_t era = 0; ///< in which the service answered, see key_value_store::era()
 };
 
 /// The platform's key-value service. Calls return at once; the handlers run on the control thread,
@@ -64,6 +66,11 @@
     virtual void grant_lease(std::chrono::milliseconds lifetime, lease_handler handler) = 0;
     virtual void renew_lease(const std::string& lease_id, lease_handler handler) = 0;
     virtual void revoke_lease(const std::string& lease_id, lease_handler handler) = 0;
+    /// Returns the latest era that the service named, or 0 if it names none. The era rises when the
+    /// service returns from an older copy: writes and leases since that copy are lost, and
+    /// revisions and lease ids are given out again, so those of different eras must not be
+    /// compared.
+    virtual std::uint64_t era() const { return 0; }
 
 protected:
     key_value_store() = default;
