Test restores of the store in registration, distribution and the list of servers

The fake store returns to a backup, raises its era and gives revisions and lease ids out again.

They found that a first named era after an unnamed one did not count as a restore; start_era() now goes by whether anything is known. Written after the fix, so only that case was seen to fail.

--- a/src/distribution/tests/distribution_test.cpp
+++ b/src/distribution/tests/distribution_test.cpp
@@ -201,3 +201,28 @@
         CHECK(again == envelope);
     }
 }
+
+TEST_CASE(
+    "versions published after a restore of the store reach all members, older ones do not return")
+{
+    distribution_fleet f{9, 3, 0, 11};
+    f.publish(1, "first");
+    f.run(seconds{3});
+    const auto saved = f.store.make_backup();
+    for (int n = 0; n < 50; ++n) {
+        f.store.put("other", std::to_string(n));
+    }
+    f.publish(2, "second");
+    REQUIRE(f.time_until(2) <= seconds{5});
+    f.store.restore(saved);
+    const auto reads = f.store.reads();
+    f.run(seconds{5});
+    CHECK(f.is_everywhere(2));
+    CHECK(f.store.reads() - reads <= 30);
+    f.publish(3, "third");
+    CHECK(f.time_until(3) <= seconds{5});
+    for (const auto& [id, it] : f.instances) {
+        CHECK(it.applied.back() == 3);
+        CHECK(std::is_sorted(it.applied.begin(), it.applied.end()));
+    }
+}
--- a/src/fleet/replica_registry.cpp
+++ b/src/fleet/replica_registry.cpp
@@ -85,10 +85,9 @@
 
 void start_era(replica_registry& registry, std::uint64_t era, steady_time now)
 {
-    const bool is_restore = registry.era != 0;
     registry.era = era;
-    if (!is_restore) {
-        return;
+    if (registry.replicas.empty()) {
+        return; // nothing is known from before
     }
     registry.revision = 0;
     registry.was_restored = true;
--- a/src/fleet/tests/replica_registry_test.cpp
+++ b/src/fleet/tests/replica_registry_test.cpp
@@ -161,3 +161,48 @@
     f.read({server("a", false)});
     CHECK_FALSE(f.is_usable("a"));
 }
+
+TEST_CASE("a list of a later era is applied although its revision is lower")
+{
+    fixture f;
+    start_era(f.registry, 1, f.clock.now());
+    f.read({server("a"), server("b")});
+    start_era(f.registry, 2, f.clock.now());
+    CHECK(apply_read(f.registry, {server("a", true), server("c")}, 3, f.clock.now()));
+    CHECK_FALSE(f.is_usable("a"));
+    CHECK(f.is_usable("c"));
+    // Its record is not in the copy, and its server has not written it again yet.
+    CHECK(f.is_usable("b"));
+    f.clock.advance(f.registry.settings.return_grace);
+    CHECK(apply_read(f.registry, {server("a", true), server("c")}, 4, f.clock.now()));
+    CHECK_FALSE(f.is_usable("b"));
+}
+
+TEST_CASE("a server that left does not return with an older copy of the list")
+{
+    struct row {
+        const char* name;
+        std::int64_t report_number; ///< in the copy; the last known one is 5
+        std::int64_t incarnation;
+        bool is_usable;
+    };
+    const row rows[] = {{"an older report", 3, 1, false},
+                        {"the last report", 5, 1, false},
+                        {"a later report", 6, 1, true},
+                        {"a later process", 1, 2, true}};
+    for (const auto& it : rows) {
+        CAPTURE(it.name);
+        fixture f;
+        start_era(f.registry, 1, f.clock.now());
+        auto known = server("a");
+        known.report_number = 5;
+        f.read({known, server("b")});
+        f.read({server("b")});
+        REQUIRE_FALSE(f.is_usable("a"));
+        start_era(f.registry, 2, f.clock.now());
+        auto copied = server("a", false, it.incarnation);
+        copied.report_number = it.report_number;
+        apply_read(f.registry, {copied, server("b")}, 3, f.clock.now());
+        CHECK(f.is_usable("a") == it.is_usable);
+    }
+}
--- a/src/fleet/tests/server_list_test.cpp
+++ b/src/fleet/tests/server_list_test.cpp
@@ -64,12 +64,13 @@
 
     void answer_read(const std::vector<listed_instance>& servers, std::uint64_t revision)
     {
-        std::exchange(source.read, {})({true, revision, servers, {}});
+        std::exchange(source.read, {})({true, revision, servers, {}, source.state.era});
     }
     void fail_read() { std::exchange(source.read, {})({false, 0, {}, "timeout"}); }
     void answer_watch(std::vector<instance_change> content, std::uint64_t revision)
     {
-        std::exchange(source.watched, {})({watch_status::done, revision, std::move(content), {}});
+        std::exchange(source.watched,
+                      {})({watch_status::done, revision, std::move(content), {}, source.state.era});
     }
     void end_watch(watch_status status) { std::exchange(source.watched, {})({status, 0, {}, {}}); }
     bool is_usable(const std::string& id) const
@@ -378,3 +379,42 @@
     CHECK(late.is_usable("a"));
     CHECK(late.list.servers().replicas.at("a").info.service == "chat");
 }
+
+TEST_CASE("the list is read again in a new era, and changes of its watch are not skipped")
+{
+    fixture f;
+    f.synchronize({server("a"), server("b")});
+    f.self.source.state.era = 2;
+    // The watch started from revision 10 of the earlier era and reports what follows in this one.
+    f.self.answer_watch({{"b", 11, server("b", true)}}, 11);
+    f.run_for(600ms);
+    REQUIRE(f.self.source.read);
+    f.self.answer_read({server("a", true), server("b")}, 4);
+    CHECK_FALSE(f.self.is_usable("a"));
+    CHECK(f.self.is_usable("b"));
+    f.run_for(600ms);
+    CHECK(f.self.source.watched_after == 4);
+}
+
+TEST_CASE("instances that learn of a new era at different times do not take each other back")
+{
+    fixture f;
+    f.synchronize({server("a"), server("b")});
+    f.self.peers = {"peer"};
+    f.peer.peers = {"self"};
+    f.self.source.state.era = 2;
+    f.self.end_watch(watch_status::history_gone);
+    f.run_for(600ms);
+    f.self.answer_read({server("a", true), server("b")}, 4);
+    f.run_for(3s);
+    f.self.answer_watch({}, 4);
+    f.run_for(600ms);
+    // The instance of the later era asks the other one while it can't read the list.
+    f.self.source.state.last_failure = f.clock.now();
+    f.run_for(600ms);
+    f.deliver();
+    f.deliver();
+    CHECK_FALSE(f.self.is_usable("a"));
+    CHECK(f.self.list.servers().revision == 4);
+    CHECK(f.self.list.servers().era == 2);
+}
--- a/src/store/tests/fake_key_value_store.h
+++ b/src/store/tests/fake_key_value_store.h
@@ -75,6 +75,11 @@
     {
         return contains(key) ? records_.at(key).revision : 0;
     }
+    /// State of the store as in a backup.
+    struct backup;
+    backup make_backup() const;
+    /// Returns to the backup and starts a new era: revisions and lease ids are given out again.
+    void restore(const backup& saved);
     /// Ends a lease as if it had expired.
     void end_lease(const std::string& lease_id) { drop_lease(lease_id); }
     std::size_t lease_count() const { return leases_.size(); }
@@ -82,6 +87,8 @@
     int writes() const { return writes_; } ///< compare_and_swap calls, whatever their outcome
     std::size_t pending() const { return queue_.size() + watches_.size(); }
 
+    std::uint64_t era() const override { return era_; }
+
     void get(const std::string& key, get_handler handler) override
     {
         ++reads_;
@@ -117,7 +124,7 @@
             leases_[id] = {lifetime, clock_.now() + lifetime};
             const bool is_lost_answer = fault == store_fault::lose_response;
             handler(is_lost_answer ? lease_result{false, false, {}, "no answer"}
-                                   : lease_result{true, false, id, {}});
+                                   : lease_result{true, false, id, {}, era_});
         });
     }
 
@@ -198,9 +205,9 @@
         }
         const auto it = records_.find(key);
         if (it == records_.end()) {
-            return {get_status::missing, {}, 0, {}};
+            return {get_status::missing, {}, 0, {}, era_};
         }
-        return {get_status::found, it->second.value, it->second.revision, {}};
+        return {get_status::found, it->second.value, it->second.revision, {}, era_};
     }
 
     put_result evaluate_write(const std::string& key, std::uint64_t expected,
@@ -276,7 +283,9 @@
             else if (it.deadline <= clock_.now()) {
                 const bool is_gone = it.after_revision > 0 && !contains(it.key);
                 const auto status = is_gone ? get_status::missing : get_status::unchanged;
-                answer_later([handler = it.handler, status] { handler({status, {}, 0, {}}); });
+                answer_later([handler = it.handler, status, era = era_] {
+                    handler({status, {}, 0, {}, era});
+                });
             }
             else {
                 waiting.push_back(std::move(it));
@@ -293,6 +302,7 @@
     std::deque<store_fault> faults_;
     std::function<void()> before_write_;
     std::chrono::milliseconds delay_{0};
+    std::uint64_t era_ = 0;
     std::uint64_t revision_ = 0;
     int last_lease_ = 0;
     int reads_to_fail_ = 0;
@@ -301,4 +311,28 @@
     bool is_down_ = false;
 };
 
+struct fake_key_value_store::backup {
+    std::map<std::string, record> records;
+    std::map<std::string, std::pair<std::chrono::milliseconds, steady_time>> leases;
+    std::uint64_t revision = 0;
+    int last_lease = 0;
+};
+
+inline fake_key_value_store::backup fake_key_value_store::make_backup() const
+{
+    return {records_, leases_, revision_, last_lease_};
+}
+
+inline void fake_key_value_store::restore(const backup& saved)
+{
+    records_ = saved.records;
+    leases_ = saved.leases;
+    revision_ = saved.revision;
+    last_lease_ = saved.last_lease;
+    ++era_;
+    for (const auto& it : std::exchange(watches_, {})) {
+        answer_later([handler = it.handler] { handler({get_status::failed, {}, 0, "cut"}); });
+    }
+}
+
 } // namespace almondline
