Write idempotency claims again that a restore of the store took away

Two new cases failed first: the key was claimed by another request at another owner, and the owners' claims were not in the record.

The owner keeps the claims that it knows to be recorded, puts those that the store lacks back into the record, and writes it again once. If the store names a new era, it reads its ranges at once, 4 ms apart; otherwise at the next conflict. A claim of an owner that died before it could do so stays lost.

--- a/src/idempotency/range_owner.cpp
+++ b/src/idempotency/range_owner.cpp
@@ -53,7 +53,14 @@
         return;
     }
     expire(range, now);
-    if (range.waiting.empty() || now < range.next_call) {
+    if (range.is_loaded && range.era != store_.era()) {
+        // The store may have lost claims that it acknowledged.
+        range.is_loaded = false;
+        range.is_reload_due = true;
+        range.next_call = std::max(range.next_call, now + index * config_.restore_interval);
+    }
+    const bool has_work = !range.waiting.empty() || range.is_reload_due || range.has_lost_claims;
+    if (!has_work || now < range.next_call) {
         return;
     }
     if (range.is_loaded) {
@@ -90,10 +97,10 @@
 {
     auto& range = ranges_[index];
     range.is_busy = false;
-    range.record = {};
     const bool is_found = result.status == get_status::found;
     if (!is_found && result.status != get_status::missing) {
-        range.next_call = clock_.now() + config_.reload_interval;
+        range.next_call = clock_.now() + (range.waiting.empty() ? config_.idle_reload_interval
+                                                                : config_.reload_interval);
         // Refuses all claims except unconfirmed ones, which a later read may still decide.
         const auto rest = std::stable_partition(range.waiting.begin(), range.waiting.end(),
                                                 [](const auto& it) { return it.is_unconfirmed; });
@@ -103,14 +110,18 @@
         refuse(refused, "the store can't be read: " + result.message);
         return;
     }
-    if (is_found && !parse_claim_record(result.value, range.record)) {
+    claim_record stored;
+    if (is_found && !parse_claim_record(result.value, stored)) {
         log_event("idempotency", log_level::error, "bad-claim-record",
                   {{"key", range_key(index)}, {"revision", result.revision}});
         refuse(std::exchange(range.waiting, {}), "the record of the key range can't be read");
         return;
     }
     range.revision = is_found ? result.revision : 0;
+    range.era = result.era;
     range.is_loaded = true;
+    range.is_reload_due = false;
+    restore_claims(index, std::move(stored));
     for (auto& it : range.waiting) {
         // A write that expected another revision can no longer take effect.
         it.is_unconfirmed = it.is_unconfirmed && it.expected_revision == range.revision;
@@ -118,6 +129,25 @@
     advance(index, clock_.now());
 }
 
+/// Takes over the record of the store, with the claims that it acknowledged earlier and has lost
+/// since: it returned from an older copy, or another owner had not seen them.
+void range_owner::restore_claims(int index, claim_record stored)
+{
+    auto& range = ranges_[index];
+    auto known = std::exchange(range.record, std::move(stored));
+    drop_claims_before(known, minutes_of(clock_.wall()) - config_.retention);
+    std::size_t restored = 0;
+    for (auto& [hash, claim] : known.claims) {
+        restored += range.record.claims.try_emplace(hash, std::move(claim)).second ? 1 : 0;
+    }
+    range.has_lost_claims = restored > 0;
+    if (restored > 0) {
+        counters_.restored_claims += restored;
+        log_event("idempotency", log_level::warning, "claims-restored",
+                  {{"key", range_key(index)}, {"claims", restored}, {"era", range.era}});
+    }
+}
+
 void range_owner::resolve_claims(range_state& range)
 {
     const auto now = minutes_of(clock_.wall());
@@ -162,7 +192,7 @@
 {
     auto& range = ranges_[index];
     resolve_claims(range);
-    if (range.writing.empty()) {
+    if (range.writing.empty() && !range.has_lost_claims) {
         return;
     }
     const auto text = to_text(range.record);
@@ -187,15 +217,23 @@
     auto written = std::exchange(range.writing, {});
     if (result.status == put_status::done) {
         range.revision = result.revision;
+        range.has_lost_claims = false;
         counters_.claims += written.size();
         for (const auto& it : written) {
             answer(it, claim_status::claimed, {});
         }
         return;
     }
-    range.is_loaded = false; // the record in memory contains claims that were not written
+    for (const auto& it : written) {
+        range.record.claims.erase(it.request.key_hash); // not known to be written
+    }
+    range.is_loaded = false;
+    range.is_reload_due = range.has_lost_claims;
     if (result.status == put_status::refused) {
         refuse(written, "the store refused the write: " + result.message);
+        if (range.waiting.empty()) {
+            range.next_call = clock_.now() + config_.idle_reload_interval;
+        }
         return;
     }
     if (result.status == put_status::unknown) {
--- a/src/idempotency/range_owner.h
+++ b/src/idempotency/range_owner.h
@@ -22,6 +22,10 @@
     std::size_t bytes_per_second = 4'000'000;
     std::chrono::milliseconds claim_timeout{1000};
     std::chrono::milliseconds reload_interval{50};
+    /// The same while no claim waits, to write lost claims again.
+    std::chrono::milliseconds idle_reload_interval{1'000};
+    /// Time between the reads of two ranges after the store returned from an older copy.
+    std::chrono::milliseconds restore_interval{4};
     std::chrono::hours retention{24};
     std::size_t max_record_bytes = 900'000; ///< the store accepts values of up to 1 MB
     std::size_t max_waiting = 1000;         ///< claims per range
@@ -33,6 +37,7 @@
     std::uint64_t claims = 0; ///< recorded by this instance
     std::uint64_t conflicts = 0;
     std::uint64_t lost_answers = 0;
+    std::uint64_t restored_claims = 0; ///< acknowledged claims that the store had lost
 };
 
 /// Writes claims to the records of the key ranges in the store. Any instance may write any range:
@@ -61,10 +66,14 @@
         std::uint64_t expected_revision = 0;
     };
     struct range_state {
+        /// Claims that the store acknowledged, and those of writing.
         claim_record record;
         std::uint64_t revision = 0;
+        std::uint64_t era = 0; ///< of the store, to which the revision belongs
         bool is_loaded = false;
-        bool is_busy = false; ///< a store call is pending
+        bool is_reload_due = false;   ///< even if no claim waits
+        bool has_lost_claims = false; ///< the store lacks claims of the record
+        bool is_busy = false;         ///< a store call is pending
         steady_time next_call;
         std::vector<pending_claim> waiting;
         std::vector<pending_claim> writing;
@@ -73,6 +82,7 @@
     void advance(int index, steady_time now);
     void expire(range_state& range, steady_time now);
     void load(int index);
+    void restore_claims(int index, claim_record stored);
     void on_loaded(int index, const get_result& result);
     void write(int index, steady_time now);
     void on_written(int index, const put_result& result);
--- a/src/idempotency/tests/claim_test.cpp
+++ b/src/idempotency/tests/claim_test.cpp
@@ -237,3 +237,50 @@
             parse_claim_record("claims 1\nh e1 3\nc " + hash + " c1 0 " + time + "\n", parsed));
     }
 }
+
+TEST_CASE("a claim that a restore of the store took away is not given to another request")
+{
+    struct row {
+        const char* name;
+        bool
+            has_other_owner; ///< the other request comes to an owner that started after the restore
+    };
+    for (const auto& it : {row{"same owner", false}, row{"other owner", true}}) {
+        CAPTURE(it.name);
+        fixture f;
+        range_owner first{f.store, f.clock, f.config};
+        range_owner second{f.store, f.clock, f.config};
+        f.claim(first, "early", hash_number(1));
+        f.run({&first}, milliseconds{200});
+        const auto saved = f.store.make_backup();
+        f.claim(first, "late", key_hash);
+        f.run({&first}, milliseconds{200});
+        REQUIRE(f.status("late") == claim_status::claimed);
+        f.store.restore(saved);
+        if (it.has_other_owner) {
+            f.run({&first, &second}, milliseconds{200});
+        }
+        f.claim(it.has_other_owner ? second : first, "again", key_hash);
+        f.run({&first, &second}, milliseconds{500});
+        CHECK(f.status("again") == claim_status::duplicate);
+        CHECK(f.record().claims.size() == 2);
+    }
+}
+
+TEST_CASE("owners that write one range after a restore keep each other's claims")
+{
+    fixture f;
+    range_owner first{f.store, f.clock, f.config};
+    range_owner second{f.store, f.clock, f.config};
+    const auto empty = f.store.make_backup();
+    f.claim(first, "one", hash_number(1));
+    f.run({&first}, milliseconds{200});
+    f.claim(second, "two", hash_number(2));
+    f.run({&second}, milliseconds{200});
+    f.store.restore(empty);
+    f.run({&first, &second}, milliseconds{500});
+    CHECK(f.record().claims.size() == 2);
+    const int writes = f.store.writes();
+    f.run({&first, &second}, milliseconds{2'000});
+    CHECK(f.store.writes() == writes);
+}
