Give up the placement lease when the store returns from an older copy

Its fencing token was the record's revision, which goes back with the store, so that engines would have refused the orders of later holders.

The keeper drops the lease without ending it when the store names another era, and acquires it again. The token has the era above the revision; without eras it stays as it was.

--- a/src/granting/quarantine_exchange.cpp
+++ b/src/granting/quarantine_exchange.cpp
@@ -142,6 +142,7 @@
         return;
     }
     std::vector<quarantine_decision> chosen;
+    chosen.reserve(decisions.size());
     for (const auto& [part, it] : decisions) {
         chosen.push_back(it);
     }
--- a/src/placement/lease_keeper.cpp
+++ b/src/placement/lease_keeper.cpp
@@ -5,6 +5,19 @@
 
 namespace almondline::placement {
 
+namespace {
+
+/// Bits of a fencing token that hold the revision. The era above them keeps tokens increasing when
+/// a restored store gives revisions out again.
+constexpr int revision_bits = 40;
+
+std::uint64_t make_fencing(std::uint64_t era, std::uint64_t revision)
+{
+    return (era << revision_bits) | revision;
+}
+
+} // namespace
+
 struct lease_keeper::state : std::enable_shared_from_this<state> {
     state(key_value_store& kv, const clock_source& time, std::string record_key,
           std::string instance, lease_settings lease)
@@ -24,6 +37,7 @@
     void renew(steady_time now);
     void note_renewal(const lease_result& r, steady_time sent);
     void release(const std::string& reason);
+    void forget_lease(const std::string& reason);
     void delay_next_call(std::chrono::milliseconds delay) { next_call = clock.now() + delay; }
 
     /// Wraps a handler of a store call. Answers to calls made before a release are ignored.
@@ -51,7 +65,8 @@
     std::uint64_t generation = 0;
     steady_time next_call{};
     std::string lease_id;
-    std::string claim; ///< value of the record, unique for each acquisition
+    std::uint64_t lease_era = 0; ///< of the store when it granted the lease
+    std::string claim;           ///< value of the record, unique for each acquisition
     std::uint64_t fencing = 0;
     std::string seen_holder;
     std::uint64_t seen_fencing = 0;
@@ -61,6 +76,11 @@
 
 void lease_keeper::state::tick(steady_time now)
 {
+    if (!lease_id.empty() && store.era() != lease_era) {
+        // The id may belong to another client now.
+        forget_lease("the store returned from an older copy");
+        next_call = now;
+    }
     if (!is_candidate || is_call_pending || now < next_call) {
         return;
     }
@@ -83,7 +103,7 @@
 {
     const bool is_found = r.status == get_status::found;
     seen_holder = is_found ? r.value.substr(0, r.value.find(' ')) : std::string{};
-    seen_fencing = is_found ? r.revision : 0;
+    seen_fencing = is_found ? make_fencing(r.era, r.revision) : 0;
     if (r.status == get_status::missing) {
         request_lease(clock.now());
         return;
@@ -102,6 +122,7 @@
                               return;
                           }
                           lease_id = r.lease_id;
+                          lease_era = r.era;
                           claim = instance_id + " " + random_id();
                           write_record(now);
                       }));
@@ -146,7 +167,7 @@
 void lease_keeper::state::hold(std::uint64_t revision, steady_time granted_at)
 {
     const auto now = clock.now();
-    fencing = revision;
+    fencing = make_fencing(lease_era, revision);
     valid_until = granted_at + settings.lifetime;
     orders_allowed_from = now + settings.lifetime + settings.order_margin;
     next_call = granted_at + settings.renew_interval;
@@ -178,6 +199,16 @@
 }
 
 void lease_keeper::state::release(const std::string& reason)
+{
+    const auto ended = lease_id;
+    const bool is_own = store.era() == lease_era;
+    forget_lease(reason);
+    if (!ended.empty() && is_own) {
+        store.revoke_lease(ended, [](const lease_result&) {});
+    }
+}
+
+void lease_keeper::state::forget_lease(const std::string& reason)
 {
     ++generation;
     is_call_pending = false;
@@ -186,9 +217,6 @@
                   {{"fencing", fencing}, {"reason", reason}});
     }
     fencing = 0;
-    if (!lease_id.empty()) {
-        store.revoke_lease(lease_id, [](const lease_result&) {});
-    }
     lease_id.clear();
 }
 
--- a/src/placement/lease_keeper.h
+++ b/src/placement/lease_keeper.h
@@ -23,7 +23,8 @@
 };
 
 /// Holds a record in the store under a lease. Driven by tick() and the store's handlers on the
-/// control thread. The record's revision is the fencing token.
+/// control thread. The fencing token combines the store's era and the record's revision, so that it
+/// increases across restores.
 ///
 /// The lifetime of the lease is measured on the local monotonic clock from just before the call
 /// that granted or renewed it was sent, so that the lease expires here before it expires in the
@@ -52,7 +53,7 @@
     /// acquired. By then, a former holder's orders have expired, which protects engines that ignore
     /// the fencing token.
     bool may_send_orders(steady_time now) const;
-    /// Returns the revision of the record, the fencing token; 0 if the record is not held.
+    /// Returns the fencing token; 0 if the record is not held.
     std::uint64_t fencing() const;
     /// Return holder and revision of the record when it was last read; empty and 0 if there was no
     /// record.
--- a/src/placement/tests/placement_coordinator_test.cpp
+++ b/src/placement/tests/placement_coordinator_test.cpp
@@ -327,3 +327,34 @@
     CHECK_FALSE(f.first.coordinator.is_holder());
     CHECK(f.first.sender.engines["strict"].accepted.empty());
 }
+
+TEST_CASE("a holder whose lease id belongs to another client after a restore steps down")
+{
+    manual_clock clock;
+    fake_key_value_store store{clock};
+    lease_keeper keeper{store, clock, "k", "e1", {}};
+    const auto empty = store.make_backup();
+    const auto run_for = [&](std::chrono::milliseconds time) {
+        for (const auto end = clock.now() + time; clock.now() < end; clock.advance(100ms)) {
+            keeper.tick(clock.now());
+            store.run();
+        }
+    };
+    run_for(30s);
+    REQUIRE(keeper.may_send_orders(clock.now()));
+    const auto before = keeper.fencing();
+    store.restore(empty);
+    std::string foreign;
+    store.grant_lease(600s, [&](const lease_result& it) { foreign = it.lease_id; });
+    store.run();
+    run_for(200ms);
+    CHECK_FALSE(keeper.may_send_orders(clock.now()));
+    run_for(30s);
+    CHECK(keeper.may_send_orders(clock.now()));
+    CHECK(keeper.fencing() > before);
+    // The other client's lease was not ended.
+    bool is_renewed = false;
+    store.renew_lease(foreign, [&](const lease_result& it) { is_renewed = it.is_granted; });
+    store.run();
+    CHECK(is_renewed);
+}
