Don't let copies of a quarantine decision look newer than the decision

Found by reading the change: times in messages are relative, so a copy looks newer than the decision that it copies by the time that its message took, and each exchange moved the decision on. In the new case a late copy undid what the granter had learned: the part that crashes servers was given its trial at once again. Decisions of the same content within 1 s are the same one now; without that margin the case fails.

--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -92,10 +92,9 @@
     bool is_sent_ = false;    ///< sending to the server of this attempt has started
     bool is_written_ = false; ///< the whole request was sent to the server of this attempt
     bool may_have_run_ = false;
-    bool is_server_leaving_ = false; ///< the server of this attempt reported that it stops soon
-    bool has_server_crashed_ =
-        false;                 ///< the server of this attempt crashed as it started to answer
-    bool has_started_ = false; ///< part of the response was sent to the caller
+    bool is_server_leaving_ = false;  ///< the server of this attempt reported that it stops soon
+    bool has_server_crashed_ = false; ///< as it started to answer this attempt
+    bool has_started_ = false;        ///< part of the response was sent to the caller
     int servers_reached_ = 0;
     int unreachable_servers_ = 0;
     steady_time dispatched_{};
--- a/src/granting/quarantine.cpp
+++ b/src/granting/quarantine.cpp
@@ -267,13 +267,16 @@
     }
     auto& known = it->second;
     const auto last_seen = std::max(known.last_seen, decision.last_seen);
+    const auto next_trial = std::max(known.next_trial, decision.next_trial);
     const bool was_quarantined = known.is_quarantined;
-    if (decision.decided_at > known.decided_at) {
+    const bool is_same_state = was_quarantined == decision.is_quarantined;
+    // A copy of the known decision appears later by the time that its message took.
+    const auto margin = is_same_state ? table.settings.copy_delay : milliseconds{0};
+    if (decision.decided_at > known.decided_at + margin) {
         known = decision;
     }
-    else if (decision.is_quarantined && known.is_quarantined) {
-        // The other instance may have started a trial since.
-        known.next_trial = std::max(known.next_trial, decision.next_trial);
+    else if (is_same_state) {
+        known.next_trial = next_trial; // the other instance may have started a trial since
     }
     known.last_seen = last_seen;
     const bool is_changed = known.is_quarantined != was_quarantined;
--- a/src/granting/tests/quarantine_test.cpp
+++ b/src/granting/tests/quarantine_test.cpp
@@ -216,3 +216,34 @@
     CHECK(apply_decision(one.table, two.table.decisions.at(deadly), two.now));
     CHECK(!one.is_refused({deadly}));
 }
+
+TEST_CASE("copies of a decision that arrive late do not outlast the end of the quarantine")
+{
+    constexpr auto delay = 100ms; // of a message; its times are relative to the arrival
+    scenario one;
+    scenario two;
+    for (int n = 0; n < 3; ++n) {
+        one.crash({deadly, after});
+    }
+    const auto deliver = [&](const auto& sent, scenario& to) {
+        for (const auto& [part, it] : sent) {
+            auto late = it;
+            late.decided_at += delay;
+            apply_decision(to.table, late, to.now);
+        }
+    };
+    for (int n = 0; n < 20; ++n) {
+        two.now = one.now + delay;
+        deliver(one.table.decisions, two);
+        one.now = two.now + delay;
+        deliver(two.table.decisions, one);
+    }
+    const auto in_transit = one.table.decisions;
+    REQUIRE(one.answer({after}) == std::vector{after});
+    two.now = one.now + delay;
+    deliver(in_transit, two);
+    one.now = two.now + delay;
+    deliver(two.table.decisions, one);
+    CHECK(!one.is_refused({after}));
+    CHECK(one.is_refused({deadly}));
+}
--- a/src/granting/types/quarantine_types.h
+++ b/src/granting/types/quarantine_types.h
@@ -37,6 +37,8 @@
     std::chrono::milliseconds forget_after{3'600'000};
     /// How long the end of a quarantine is told to instances that may not know it.
     std::chrono::milliseconds remember_end{60'000};
+    /// Decisions about a part with the same content and less time apart are the same one.
+    std::chrono::milliseconds copy_delay{1'000};
     std::size_t max_sound_parts = 8'192; ///< in each of two generations
     std::size_t max_suspects = 1'024;
     std::size_t max_crashes_per_part = 8;
