Check quarantine messages in the fuzz target, share the tests' worker threads

The reads of quarantine messages and the bounds of the table are checked with the mutated frames. The two process tests that run callers in threads had the same start and end; support/workers.py has it now.

--- a/src/fuzz/targets/peer_frame.cpp
+++ b/src/fuzz/targets/peer_frame.cpp
@@ -4,6 +4,8 @@
 #include "fuzz/invariant.h"
 #include "fuzz/targets.h"
 #include "granting/internal/messages.h"
+#include "granting/internal/quarantine_messages.h"
+#include "granting/quarantine.h"
 #include "idempotency/wire_format.h"
 #include "membership/wire_format.h"
 #include "peer/wire.h"
@@ -59,6 +61,25 @@
             "the actual cost of a release is not negative");
 }
 
+void check_quarantine(const wire::envelope& envelope)
+{
+    granting::quarantine_table table;
+    for (const auto& it : granting::read_decisions(envelope.quarantine, start)) {
+        require(it.decided_at <= start && it.last_seen <= start,
+                "a decision and the requests that it concerns are not in the future");
+        require(it.trial_interval.count() >= 0, "the interval of trials is not negative");
+        granting::apply_decision(table, it, start);
+    }
+    for (const auto& it : granting::read_crashes(envelope.quarantine)) {
+        granting::note_crash(table, it, start);
+    }
+    const auto crash = granting::read_crash(envelope.release);
+    granting::note_crash(table, crash, start);
+    require(table.decisions.size() <= table.settings.max_decisions &&
+                table.suspects.size() <= table.settings.max_suspects,
+            "the quarantine table is bounded");
+}
+
 void check_body(std::string_view body)
 {
     wire::envelope message;
@@ -75,6 +96,7 @@
     check_conversion(message, distribution::message{});
     check_conversion(message, idempotency::message{});
     check_granting(message);
+    check_quarantine(message);
 }
 
 } // namespace
--- a/tests/platform/crashing_prompt_test.py
+++ b/tests/platform/crashing_prompt_test.py
@@ -10,6 +10,7 @@
 
 from gateway_fleet import GatewayFleet  # noqa: E402
 from server_rate_test import granting_gateway  # noqa: E402
+from support.workers import Workers  # noqa: E402
 
 GATEWAYS = 3
 REPLICAS = 6
@@ -21,25 +22,23 @@
 SOUND_SHARE = 0.9         # of the sound requests that must be served after that
 
 
-class Traffic:
+class Traffic(Workers):
     """Sound requests and requests with the deadly part, to all gateways in turn."""
 
     def __init__(self, fleet, path="/resume-stream/1"):
+        sound = [(self.call, (n, False, 0.02)) for n in range(3)]
+        super().__init__([*sound, (self.call, (3, True, 0.15))])
         self.fleet = fleet
         self.path = path
         self.lock = threading.Lock()
         self.deadly_arrivals = []
         self.answers = []     # (time, is_deadly, status, headers)
-        self.is_over = threading.Event()
         for n in range(2, REPLICAS):
             fleet.add_replica(f"pool-{n}", "pool")
         for name, it in fleet.replicas.items():
             if name.startswith("pool"):
                 it.behaviour = self.answer
                 it.event_pause = 0.01
-        self.threads = [threading.Thread(target=self.call, args=(n, deadly, pause))
-                        for n, deadly, pause in [(0, False, 0.02), (1, False, 0.02),
-                                                 (2, False, 0.02), (3, True, 0.15)]]
 
     def answer(self, handler):
         if DEADLY not in handler.headers.get("Almondline-Prompt-Prefix", ""):
@@ -51,16 +50,6 @@
         handler.close_connection = True
         return True
 
-    def __enter__(self):
-        for it in self.threads:
-            it.start()
-        return self
-
-    def __exit__(self, *_details):
-        self.is_over.set()
-        for it in self.threads:
-            it.join()
-
     def call(self, number, is_deadly, pause):
         count = 0
         while not self.is_over.is_set():
--- a/tests/platform/server_rate_test.py
+++ b/tests/platform/server_rate_test.py
@@ -2,7 +2,6 @@
 
 import statistics
 import sys
-import threading
 import time
 import unittest
 from pathlib import Path
@@ -10,6 +9,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from gateway_fleet import GatewayFleet  # noqa: E402
+from support.workers import Workers  # noqa: E402
 
 GATEWAYS = 3
 CALLERS = 6
@@ -46,25 +46,14 @@
         return EXCESS * self.rate * WINDOW + EXTRA
 
 
-class Load:
+class Load(Workers):
     """Callers that send lookups to all gateways until the end of a `with` block."""
 
     def __init__(self, fleet, pause, callers=CALLERS):
+        super().__init__([(self.call, (n,)) for n in range(callers)])
         self.fleet = fleet
         self.pause = pause
-        self.is_over = threading.Event()
         self.answers = []
-        self.threads = [threading.Thread(target=self.call, args=(n,)) for n in range(callers)]
-
-    def __enter__(self):
-        for it in self.threads:
-            it.start()
-        return self
-
-    def __exit__(self, *_details):
-        self.is_over.set()
-        for it in self.threads:
-            it.join()
 
     def call(self, number):
         count = 0
