Let servers without report numbers come back after a restore

Found by reading the change: a server that had left came back after a restore only with a newer report number, so one whose record names no number would have stayed out until this process restarted. The new row of the table covers it.

--- a/src/fleet/replica_registry.cpp
+++ b/src/fleet/replica_registry.cpp
@@ -33,7 +33,8 @@
     if (is_same_process && known.is_gone && known.info.is_leaving) {
         return false;
     }
-    const bool is_old_report = server.report_number <= known.info.report_number;
+    const bool is_old_report =
+        server.report_number != 0 && server.report_number <= known.info.report_number;
     if (is_same_process && known.is_gone && registry.was_restored && is_old_report) {
         return false;
     }
--- a/src/fleet/tests/registration_test.cpp
+++ b/src/fleet/tests/registration_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/registration.h"
 
+#include "common/log.h"
 #include "store/tests/fake_key_value_store.h"
 
 #include <doctest/doctest.h>
@@ -17,6 +18,7 @@
 struct fixture {
     explicit fixture(std::size_t size)
     {
+        set_log_level("fleet", log_level::error);
         for (std::size_t n = 0; n < size; ++n) {
             registration_settings settings;
             settings.key = key(n);
--- a/src/fleet/tests/replica_registry_test.cpp
+++ b/src/fleet/tests/replica_registry_test.cpp
@@ -189,6 +189,7 @@
     const row rows[] = {{"an older report", 3, 1, false},
                         {"the last report", 5, 1, false},
                         {"a later report", 6, 1, true},
+                        {"an unknown report", 0, 1, true},
                         {"a later process", 1, 2, true}};
     for (const auto& it : rows) {
         CAPTURE(it.name);
