Don't take running requests for trials of a quarantined prompt part

Found by reading the change: each crash of a request that had been running when its part was quarantined doubled the time to the first trial, from 5 to 40 minutes with three of them. Only requests that were admitted as trials double it now. The new case failed first.

--- a/src/granting/quarantine.cpp
+++ b/src/granting/quarantine.cpp
@@ -92,14 +92,17 @@
     }
 }
 
-/// Puts off the next trial of the quarantined parts of a request that crashed its server.
+/// Puts off the next trial of the quarantined parts of a request that crashed its server. Requests
+/// that were running when their part was quarantined are no trials.
 void extend_quarantine(quarantine_table& table, const std::vector<prompt_part>& parts,
                        steady_time now)
 {
     for (const auto it : parts) {
         auto& decision = table.decisions.at(it);
-        decision.trial_interval =
-            std::min(2 * decision.trial_interval, table.settings.max_trial_interval);
+        if (std::exchange(decision.is_trial_running, false)) {
+            decision.trial_interval =
+                std::min(2 * decision.trial_interval, table.settings.max_trial_interval);
+        }
         decision.next_trial = now + decision.trial_interval;
         decision.decided_at = now;
         decision.last_seen = now;
@@ -248,6 +251,7 @@
         decision.last_seen = now;
         if (!wait) {
             decision.next_trial = now + table.settings.trial_timeout;
+            decision.is_trial_running = true;
         }
     }
     return wait;
--- a/src/granting/tests/quarantine_test.cpp
+++ b/src/granting/tests/quarantine_test.cpp
@@ -247,3 +247,17 @@
     CHECK(!one.is_refused({after}));
     CHECK(one.is_refused({deadly}));
 }
+
+TEST_CASE("requests that were running when their part was quarantined do not delay the first trial")
+{
+    scenario s;
+    for (int n = 0; n < 3; ++n) {
+        s.crash({deadly});
+    }
+    for (int n = 0; n < 4; ++n) {
+        s.crash({deadly}, 100ms);
+    }
+    CHECK(s.is_refused({deadly}));
+    s.now += s.table.settings.first_trial_after;
+    CHECK(!s.is_refused({deadly}));
+}
--- a/src/granting/types/quarantine_types.h
+++ b/src/granting/types/quarantine_types.h
@@ -59,6 +59,7 @@
     steady_time last_seen{}; ///< last request with the part
     steady_time next_trial{};
     std::chrono::milliseconds trial_interval{0};
+    bool is_trial_running = false; ///< as far as this instance knows; not exchanged
 };
 
 } // namespace almondline::granting
