Make the stand-in refuse connections at once when it crashes

Cause, shown by a run: the thread of the stand-in's server polls the listening socket, so that closing it did not stop it from listening; 30 of 30 connections made right after a crash were accepted, and the gateway took the replica for alive if it was slow to check.

--- a/tests/platform_standins/replica.py
+++ b/tests/platform_standins/replica.py
@@ -25,6 +25,8 @@
         """Closes all connections and refuses new ones for some seconds."""
         self.crashes.append(time.monotonic())
         port = self.server.server_address[1]
+        # Without shutdown() the socket goes on listening while the server's thread polls it.
+        self.server.socket.shutdown(socket.SHUT_RDWR)
         self.server.socket.close()
         threading.Thread(target=self.server.shutdown, daemon=True).start()
         for it in list(self.connections):
