--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,10 +14,11 @@
 GATEWAYS = 3
 REPLICAS = 3
 DOWN_S = 3.0          # "the replica is back after some seconds"
-FIRST_EVENT_S = 0.06
-EVENTS = 12
-GAP_S = 0.2           # a sound stream lasts 2.3 s
-GROUP = 6             # users that come at once
+SOUND_FIRST_EVENT_S = 0.25   # within the aim of 300 ms
+TAINTED_FIRST_EVENT_S = 0.06
+EVENTS = 16
+GAP_S = 0.2           # a sound stream lasts 3.3 s
+GROUP = 9             # users that come at once
 PAUSE_S = 4.0         # between two groups of sound requests
 OUTSIDE_S = 24
 INSIDE_S = 44
@@ -32,10 +33,10 @@
     async def run():
         parts = harness.find_header(arrival.headers, "Almondline-Prompt-Prefix")
         if DEADLY_PART in parts:
-            await asyncio.sleep(FIRST_EVENT_S)
+            await asyncio.sleep(TAINTED_FIRST_EVENT_S)
             arrival.replica.crash(DOWN_S, arrival.id)
             await asyncio.sleep(1)  # cancelled by the crash
-        await arrival.stream(EVENTS, FIRST_EVENT_S, GAP_S)
+        await arrival.stream(EVENTS, SOUND_FIRST_EVENT_S, GAP_S)
         return True
     return run()
 
@@ -66,7 +67,7 @@
     state = harness.desired_state(
         [harness.route("hint", "almond-pool", "stream", timeout_ms=15000, target_latency_ms=300)],
         ["almond-pool"])
-    replicas = [harness.Replica(f"i-{n}", "almond-pool", record, capacity=12)
+    replicas = [harness.Replica(f"i-{n}", "almond-pool", record, capacity=18)
                 for n in range(REPLICAS)]
     for it in replicas:
         it.handler = handler
@@ -108,7 +109,7 @@
     await asyncio.gather(sound_requests(), *([tainted_requests()] if has_trouble else []))
     await asyncio.gather(*tasks)
     ran = {id for it in replicas for id in it.runs}
-    last_crash = OUTSIDE_S + FIRST_TAINTED_S[-1] + FIRST_EVENT_S
+    last_crash = OUTSIDE_S + FIRST_TAINTED_S[-1] + TAINTED_FIRST_EVENT_S
     crashes = sum(it.crashes for it in replicas)
     outside = [it for it, at in sent_at.items() if it.startswith("sound") and at < OUTSIDE_S - 1]
     inside = [it for it, at in sent_at.items() if it.startswith("sound")
