--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,14 +11,14 @@
 
 import harness  # noqa: E402
 
-GATEWAYS = 3
+GATEWAYS = 6
 REPLICAS = 3
 DOWN_S = 3.0          # "the replica is back after some seconds"
 SOUND_FIRST_EVENT_S = 0.25   # within the aim of 300 ms
 TAINTED_FIRST_EVENT_S = 0.06
 EVENTS = 16
 GAP_S = 0.2           # a sound stream lasts 3.3 s
-GROUP = 9             # users that come at once
+GROUP = 12            # users that come at once
 PAUSE_S = 4.0         # between two groups of sound requests
 OUTSIDE_S = 24
 INSIDE_S = 44
@@ -67,7 +67,7 @@
     state = harness.desired_state(
         [harness.route("hint", "almond-pool", "stream", timeout_ms=15000, target_latency_ms=300)],
         ["almond-pool"])
-    replicas = [harness.Replica(f"i-{n}", "almond-pool", record, capacity=18)
+    replicas = [harness.Replica(f"i-{n}", "almond-pool", record, capacity=24)
                 for n in range(REPLICAS)]
     for it in replicas:
         it.handler = handler
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -566,12 +566,12 @@
                 await it.process.wait()
 
 
-def main(case, folder):
+def main(case, folder, record_name="record.txt"):
     """Runs case(fleet, record, has_trouble), which returns True if the rule was broken."""
     os.umask(0o077)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     directory = tempfile.mkdtemp(prefix="almondline-review-")
-    record = Record(Path(folder) / "record.txt")
+    record = Record(Path(folder) / record_name)
 
     async def run():
         fleet = Fleet(directory, record)
