--- a/review/5/case.py
+++ b/review/findings/restarts/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common"))
+sys.path.insert(0, str(FOLDER.parents[1] / "common"))
 
 import harness  # noqa: E402
 
