Answer every request before a planned stop ends the process

Cause: the end of the process did not know of requests. gateway::finish_stop() ended the io_context at 0.9 of the stop limit with whatever was in progress, and each request was admitted in the first 0.3 however long it may take.

Now a schedule (gateway/stop_schedule.h) says by when each request has its final answer, 0.875 of the limit, and when the process ends at the latest, 0.95. A request is taken or sent only if it can be finished by then, judged by the slowest answers of its route in the last minutes, without any by the route's whole time; otherwise it is refused as not run, at once, also in the queue. What turns out slower gets 502, may have run; a stream is cut; the credit is returned. Incomplete bodies get 503. The process waits for callers to read their last answers, and answers in progress at the signal announce the end of their connections.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,10 +31,6 @@
 /// After a stop signal, new requests are expected for this multiple of the address lifetime,
 /// because callers keep using the addresses they received.
 constexpr double address_lifetime_factor = 1.2;
-/// Share of the stop limit during which new requests are still accepted, and the share after which
-/// the process exits even with requests in progress.
-constexpr double accepting_share = 0.3;
-constexpr double forced_exit_share = 0.9;
 
 /// Servers in a pool slice. A granter with half a core can decide for about this many.
 constexpr std::size_t slice_model_servers = 16;
@@ -188,11 +184,7 @@
                    on_notice(backend_id, notice);
                },
                [this] { return node_.possible_member_count(); },
-               [this] { return stop_started_ != steady_time{}; },
-               [this] {
-                   return stop_started_ != steady_time{} &&
-                          since_stop() > scaled(settings_.stop_limit, accepting_share);
-               }},
+               {settings.stop_limit, std::nullopt}},
       caller_server_{io, settings.listen, limits(),
                      [this](http_exchange& exchange) { return serve(exchange); }},
       health_{io, settings.health_listen, small_server_limits(),
@@ -251,15 +243,10 @@
 bool gateway::is_ready() const
 {
     // Requests would wait if the pools had no owner.
-    return stop_started_ == steady_time{} && routes_ != nullptr && servers_.is_known() &&
+    return !is_stopping(context_.stop) && routes_ != nullptr && servers_.is_known() &&
            node_.owned_pools.has_owners();
 }
 
-milliseconds gateway::since_stop() const
-{
-    return since(stop_started_, clock_.now());
-}
-
 void gateway::every(milliseconds interval, std::function<void()> action)
 {
     fleet::run_periodically(io_, interval, [action = std::move(action)] {
@@ -374,7 +361,7 @@
         if (signal == SIGHUP) {
             reread_settings();
         }
-        else if (stop_started_ == steady_time{}) {
+        else if (!is_stopping(context_.stop)) {
             begin_stop();
         }
         wait_for_signal();
@@ -398,20 +385,30 @@
 
 void gateway::begin_stop()
 {
-    stop_started_ = clock_.now();
+    context_.stop.started = clock_.now();
     log_event("gateway", log_level::info, "stop-began",
               {{"in_progress", caller_server_.requests_in_progress()}});
     node_.start_drain();
     registration_.withdraw();
+    for (auto* it : context_.in_progress) {
+        it->on_instance_stop();
+    }
     every(stop_check_interval, [this] { check_stopped(); });
 }
 
 void gateway::check_stopped()
 {
-    const auto elapsed = since_stop();
+    const auto now = clock_.now();
+    const auto elapsed = since(*context_.stop.started, now);
+    if (now >= *answer_by(context_.stop)) {
+        caller_server_.refuse_incomplete_requests();
+    }
     const bool is_idle = caller_server_.requests_in_progress() == 0 &&
+                         caller_server_.closing_connections() == 0 &&
                          elapsed > scaled(settings_.address_lifetime, address_lifetime_factor);
-    if (is_idle || elapsed > scaled(settings_.stop_limit, forced_exit_share)) {
+    // The messages that return the last credits are sent before the next check.
+    const bool has_been_idle = std::exchange(was_idle_, is_idle) && is_idle;
+    if (has_been_idle || must_exit(context_.stop, now)) {
         finish_stop();
     }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,7 +73,6 @@
     void finish_stop();
     void update_metrics();
     bool is_ready() const;
-    std::chrono::milliseconds since_stop() const;
     http_server_limits limits() const;
     boost::asio::awaitable<void> serve(http_exchange& exchange);
     boost::asio::awaitable<void> serve_metrics(http_exchange& exchange);
@@ -103,7 +102,7 @@
     steady_time next_member_poll_{};
     /// Doubled by each poll while no peer is live, or while new members appear after the start.
     std::chrono::milliseconds current_poll_interval_{0};
-    steady_time stop_started_{}; ///< epoch if no stop is in progress
+    bool was_idle_ = false; ///< at the last check of a stop
 };
 
 } // namespace almondline::gateway
--- a/src/gateway/request_credit.cpp
+++ b/src/gateway/request_credit.cpp
@@ -1,5 +1,6 @@
 #include "gateway/credit_wait.h"
 #include "gateway/internal/durations.h"
+#include "gateway/internal/request_entry.h"
 #include "gateway/request_flow.h"
 #include "scheduling/types/results.h"
 #include "scheduling/types/token_cost.h"
@@ -50,23 +51,6 @@
     return release_outcome::failed;
 }
 
-/// Lists a request among the waiting ones until the end of a scope.
-class waiting_entry {
-public:
-    waiting_entry(std::set<request_flow*>& waiting, request_flow& request)
-        : waiting_{waiting}, request_{&request}
-    {
-        waiting_.insert(request_);
-    }
-    ~waiting_entry() { waiting_.erase(request_); }
-    waiting_entry(const waiting_entry&) = delete;
-    waiting_entry& operator=(const waiting_entry&) = delete;
-
-private:
-    std::set<request_flow*>& waiting_;
-    request_flow* request_;
-};
-
 } // namespace
 
 void request_flow::choose_service(const route_policy& route)
@@ -126,11 +110,12 @@
 /// Returns the time until which the request waits for a credit.
 steady_time request_flow::credit_deadline() const
 {
+    const auto latest = latest_dispatch();
     if (route_->kind != route_kind::stream || has_started_) {
-        return deadline_;
+        return latest;
     }
     const auto event_timeout = context_.protocol.stream_event_timeout(*route_);
-    return std::min(deadline_,
+    return std::min(latest,
                     started_ + scaled(event_timeout, context_.limits.queue_share_of_timeout));
 }
 
@@ -187,7 +172,8 @@
 
 asio::awaitable<granting::credit_result> request_flow::request_credit(std::string credit_id)
 {
-    const waiting_entry listed{context_.waiting, *this};
+    const request_entry listed{context_.waiting, *this};
+    update_end();
     bool is_overflow = false;
     while (true) {
         if (const auto hold = context_.quarantine_wait(service_, fingerprints_)) {
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "gateway/internal/durations.h"
 #include "gateway/internal/forwarding_headers.h"
+#include "gateway/internal/request_entry.h"
 #include "gateway/request_fingerprint.h"
 
 #include <algorithm>
@@ -63,7 +64,7 @@
 asio::awaitable<void> request_flow::run()
 {
     call_ = context_.protocol.decode(exchange_.request());
-    if (context_.is_draining()) {
+    if (is_stopping(context_.stop)) {
         exchange_.close_after_response();
     }
     const bool is_admitted = co_await admit();
@@ -71,14 +72,14 @@
         co_return;
     }
     note_request(context_.retries, service_, started_);
-    asio::steady_timer timer{co_await asio::this_coro::executor, time_left()};
-    const auto first = co_await (run_guarded(serve()) || exchange_.wait_closed() ||
-                                 timer.async_wait(asio::as_tuple(asio::use_awaitable)));
+    const request_entry listed{context_.in_progress, *this};
+    end_timer_.emplace(co_await asio::this_coro::executor);
+    const auto first = co_await (run_guarded(serve()) || exchange_.wait_closed() || wait_for_end());
     if (first.index() == 1) {
         stop(stop_cause::caller_left);
     }
     else if (first.index() == 2) {
-        stop(stop_cause::time_up);
+        stop(context_.clock.now() < deadline_ ? stop_cause::instance_stops : stop_cause::time_up);
     }
     co_await finish();
 }
@@ -113,13 +114,12 @@
         co_await refuse(400, std::move(reason));
         co_return false;
     }
-    if (context_.refuses_new_requests()) {
-        refusal reason{verdict::not_run, "stopping", "this instance is stopping", milliseconds{1}};
-        co_await refuse(503, std::move(reason));
-        co_return false;
-    }
     const auto limit = std::min(route_->timeout, call_.time_limit.value_or(route_->timeout));
     deadline_ = started_ + limit;
+    if (!accepts_requests(context_.stop, started_) || started_ > latest_dispatch()) {
+        co_await refuse_stopping();
+        co_return false;
+    }
     fingerprints_ = fingerprints_of(call_, account_name());
     choose_service(*route_);
     co_return true;
@@ -146,6 +146,74 @@
     return silence_limit(route_->target_latency, context_.limits.latency_timeout_factor);
 }
 
+milliseconds request_flow::service_time() const
+{
+    const auto size = call_.size.value_or(call_size{});
+    const auto limit = since(started_, deadline_);
+    const auto expected =
+        expected_time(context_.answer_times, route_->name,
+                      call_.expected_output_tokens.value_or(size.max_output_tokens));
+    return std::min(limit, expected.value_or(limit));
+}
+
+steady_time request_flow::latest_dispatch() const
+{
+    const auto by = answer_by(context_.stop);
+    return by ? std::min(deadline_, *by - service_time()) : deadline_;
+}
+
+steady_time request_flow::latest_end() const
+{
+    const auto by = answer_by(context_.stop);
+    if (!by) {
+        return deadline_;
+    }
+    return has_credit_ ? std::min(deadline_, *by) : latest_dispatch();
+}
+
+asio::awaitable<void> request_flow::wait_for_end()
+{
+    while (context_.clock.now() < latest_end()) {
+        const auto left = since(context_.clock.now(), latest_end());
+        end_timer_->expires_after(left + milliseconds{1});
+        co_await end_timer_->async_wait(asio::as_tuple(asio::use_awaitable));
+        const auto state = co_await asio::this_coro::cancellation_state;
+        if (state.cancelled() != asio::cancellation_type::none) {
+            co_return; // without another await, which would throw in a cancelled coroutine
+        }
+    }
+}
+
+void request_flow::update_end()
+{
+    if (is_stopping(context_.stop)) {
+        end_timer_->cancel();
+    }
+}
+
+void request_flow::on_instance_stop()
+{
+    if (!has_started_) {
+        exchange_.close_after_response();
+    }
+    update_end();
+}
+
+void request_flow::note_answer_time()
+{
+    if (end_ != attempt_end::completed) {
+        return;
+    }
+    const auto now = context_.clock.now();
+    const auto first = first_event_ == steady_time{} ? now : first_event_;
+    const auto* service = find_service(*routes_->content, service_);
+    const double tokens_per_event = service == nullptr ? 0 : service->tokens_per_event;
+    gateway::note_answer_time(context_.answer_times, route_->name,
+                              {since(dispatched_, first), since(first, now),
+                               static_cast<double>(events_.count()) * tokens_per_event},
+                              now);
+}
+
 asio::awaitable<void> request_flow::run_guarded(asio::awaitable<void> work)
 {
     try {
@@ -188,6 +256,7 @@
             co_await run_attempt();
         }
         co_await check_crash();
+        note_answer_time();
         release_credit();
         is_planned = plan_next();
     }
@@ -285,6 +354,10 @@
         }
         co_return;
     }
+    if (stopped_ == stop_cause::instance_stops) {
+        co_await refuse_stopping();
+        co_return;
+    }
     if (stopped_ == stop_cause::time_up) {
         refusal reason{may_have_run_ ? verdict::may_have_run : verdict::not_run, "time-up",
                        "the time of the route or of the caller is up",
@@ -324,6 +397,14 @@
     co_await refuse(status, std::move(reason));
 }
 
+/// Another instance can take the request at once if it has not run.
+asio::awaitable<void> request_flow::refuse_stopping()
+{
+    refusal reason{may_have_run_ ? verdict::may_have_run : verdict::not_run, "stopping",
+                   "this instance is stopping", milliseconds{1}};
+    co_await refuse(may_have_run_ ? 502 : 503, std::move(reason));
+}
+
 asio::awaitable<void> request_flow::refuse(int status, refusal reason)
 {
     log_end(status, reason.code);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -9,6 +9,7 @@
 #include "http/server.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -25,9 +26,11 @@
     boost::asio::awaitable<void> run();
     /// Must be called while the request waits for a credit and another manifest comes into force.
     void on_manifest_changed();
+    /// Must be called when the instance begins to stop.
+    void on_instance_stop();
 
 private:
-    enum class stop_cause { none, caller_left, time_up };
+    enum class stop_cause { none, caller_left, time_up, instance_stops };
 
     /// Refuses requests that can't be served. Returns false if the request was refused.
     boost::asio::awaitable<bool> admit();
@@ -84,6 +87,7 @@
     void stop(stop_cause cause);
     bool has_server_timed_out() const;
     boost::asio::awaitable<void> finish();
+    boost::asio::awaitable<void> refuse_stopping();
     boost::asio::awaitable<void> refuse(int status, refusal reason);
     boost::asio::awaitable<void> answer();
     void log_end(int status, std::string_view code);
@@ -91,6 +95,17 @@
     scheduling::credit_request make_credit_request() const;
     double allowance_cost() const;
     steady_time credit_deadline() const;
+    /// Returns the time that the request may take once it is dispatched.
+    std::chrono::milliseconds service_time() const;
+    /// Returns the time after which the request could not be finished any more.
+    steady_time latest_dispatch() const;
+    /// Returns when the request gets its final response if it is not complete by then.
+    steady_time latest_end() const;
+    /// Returns at that time, which may change meanwhile.
+    boost::asio::awaitable<void> wait_for_end();
+    /// Must be called when latest_end() may have become earlier.
+    void update_end();
+    void note_answer_time();
     std::chrono::milliseconds time_left() const;
     /// Time for which to wait for a server: until the deadline, at which the request is stopped.
     std::chrono::milliseconds read_timeout() const;
@@ -114,6 +129,7 @@
     granting::fingerprints fingerprints_; ///< of what may make the request crash its servers
     steady_time started_{};
     steady_time deadline_{};
+    std::optional<boost::asio::steady_timer> end_timer_;
 
     granting::credit credit_;
     bool has_credit_ = false;
--- a/src/gateway/tests/request_flow_test.cpp
+++ b/src/gateway/tests/request_flow_test.cpp
@@ -57,13 +57,14 @@
         co_await never.async_wait(asio::use_awaitable);
     }
     void abort() override { is_aborted = true; }
-    void close_after_response() override {}
+    void close_after_response() override { is_closing = true; }
     std::string remote_address() const override { return {}; }
 
     asio::io_context& io;
     http_request message{"GET", "/x/", {}, ""};
     std::optional<http_response> answer;
     bool is_aborted = false;
+    bool is_closing = false;
 };
 
 /// Routes with one route to a service.
@@ -132,9 +133,7 @@
                                 return std::optional<granting::quarantine_hold>{};
                             },
                             [](const std::string&, const server_notice&) {},
-                            [] { return std::size_t{1}; },
-                            [] { return false; },
-                            [] { return false; }};
+                            [] { return std::size_t{1}; }};
 };
 
 } // namespace
@@ -184,3 +183,40 @@
     CHECK(f.exchange.answer->status == 503);
     CHECK(f.exchange.answer->body == "not-run");
 }
+
+// Requests that waited for a credit were cut without an answer when the process ended.
+TEST_CASE("a waiting request that can't be finished before the instance ends is refused at once")
+{
+    fixture f;
+    f.context.stop.limit = milliseconds{2'000};
+    asio::steady_timer timer{f.io, milliseconds{100}};
+    timer.async_wait([&](boost::system::error_code) {
+        f.context.stop.started = f.clock.now();
+        REQUIRE(f.context.in_progress.size() == 1);
+        (*f.context.in_progress.begin())->on_instance_stop();
+    });
+    const auto begin = f.clock.now();
+    f.run();
+    CHECK(f.clock.now() - begin < milliseconds{1'000});
+    REQUIRE(f.exchange.answer);
+    CHECK(f.exchange.answer->status == 503);
+    CHECK(f.exchange.answer->body == "not-run");
+    CHECK(f.exchange.is_closing);
+    CHECK(f.context.in_progress.empty());
+}
+
+TEST_CASE("a waiting request that can still be finished waits until the latest time to begin it")
+{
+    fixture f;
+    f.context.stop = {milliseconds{2'000}, f.clock.now()};
+    note_answer_time(f.context.answer_times, "", {milliseconds{900}, milliseconds{0}, 0},
+                     f.clock.now());
+    const auto begin = f.clock.now();
+    f.run();
+    const auto waited = f.clock.now() - begin;
+    CHECK(waited >= milliseconds{800});
+    CHECK(waited < milliseconds{1'300});
+    REQUIRE(f.exchange.answer);
+    CHECK(f.exchange.answer->status == 503);
+    CHECK(f.exchange.answer->body == "not-run");
+}
--- a/src/gateway/types/gateway_context.h
+++ b/src/gateway/types/gateway_context.h
@@ -2,9 +2,11 @@
 
 #include "common/clock.h"
 #include "fleet/replica_registry.h"
+#include "gateway/answer_times.h"
 #include "gateway/call_protocol.h"
 #include "gateway/retry_window.h"
 #include "gateway/route_table.h"
+#include "gateway/stop_schedule.h"
 #include "gateway/types/flow_limits.h"
 #include "granting/credit_client.h"
 #include "granting/decision_log.h"
@@ -51,10 +53,11 @@
     /// Called with the notice of each response header.
     std::function<void(const std::string& backend_id, const server_notice& notice)> on_notice;
     std::function<std::size_t()> instance_count; ///< upper bound of the instances that serve
-    std::function<bool()> is_draining;           ///< connections are closed after their response
-    std::function<bool()> refuses_new_requests;  ///< shutdown is too close to its limit
+    stop_schedule stop{};
     std::mt19937_64 random{std::random_device{}()};
-    std::set<request_flow*> waiting; ///< requests that wait for a credit
+    std::set<request_flow*> in_progress{}; ///< requests that were admitted and are not answered yet
+    std::set<request_flow*> waiting{};     ///< those that wait for a credit
+    answer_time_table answer_times{};
 };
 
 } // namespace almondline::gateway
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -100,6 +100,16 @@
     return response;
 }
 
+http_response stopping_response()
+{
+    auto response =
+        json_response(503, R"({"error":{"code":"stopping","message":"this instance is stopping",)"
+                           R"("verdict":"not-run","retry_after_ms":1}})");
+    response.headers.push_back({"X-Verdict", "not-run"});
+    response.headers.push_back({"Retry-After", "0.001"});
+    return response;
+}
+
 http_response internal_error_response()
 {
     auto response = json_response(
@@ -124,6 +134,8 @@
     bool is_idle = false;                    ///< waits for the first bytes of a request
     std::chrono::milliseconds idle_limit{0}; ///< of this wait
     bool is_extended = false;                ///< the wait was ended to apply a longer limit
+    bool is_reading_body = false;
+    bool is_refused = false; ///< the rest of the body is not awaited any more
 };
 
 struct http_server::state {
@@ -147,8 +159,12 @@
     asio::awaitable<bool> perform_handshake(http_stream& stream);
     asio::awaitable<bool> wait_for_request(open_connection& connection, beast::flat_buffer& buf);
     asio::awaitable<bool> serve_one(open_connection& connection, beast::flat_buffer& buf);
+    /// Calls the action for each open connection, on the connection's strand. A connection whose
+    /// flags are not set may have ended.
+    void for_each_open(const std::function<void(open_connection&)>& action);
     /// Lets idle connections wait for a longer time.
     void extend_idle_limits(std::chrono::milliseconds limit);
+    void refuse_incomplete_requests();
     /// Reads until the caller closes the connection. Closing it with unread input would reset it,
     /// and the caller would lose a response that it has not read yet.
     asio::awaitable<void> drop_input(beast::tcp_stream& stream);
@@ -167,6 +183,7 @@
     std::mutex open_mutex; ///< of open
     std::set<std::shared_ptr<open_connection>> open;
     std::atomic<std::size_t> requests{0};
+    std::atomic<std::size_t> closing{0};
     std::atomic<std::uint64_t> body_bytes{0}; ///< reserved for requests in progress
 };
 
@@ -254,20 +271,35 @@
     }
 }
 
-void http_server::state::extend_idle_limits(std::chrono::milliseconds limit)
+void http_server::state::for_each_open(const std::function<void(open_connection&)>& action)
 {
     const std::lock_guard lock{open_mutex};
     for (const auto& it : open) {
-        asio::post(it->stream->get_executor(), [it, limit] {
-            if (it->is_idle && limit > it->idle_limit) {
-                it->idle_limit = limit;
-                it->is_extended = true;
-                it->stream->lower().cancel();
-            }
-        });
+        asio::post(it->stream->get_executor(), [it, action] { action(*it); });
     }
 }
 
+void http_server::state::extend_idle_limits(std::chrono::milliseconds limit)
+{
+    for_each_open([limit](open_connection& it) {
+        if (it.is_idle && limit > it.idle_limit) {
+            it.idle_limit = limit;
+            it.is_extended = true;
+            it.stream->lower().cancel();
+        }
+    });
+}
+
+void http_server::state::refuse_incomplete_requests()
+{
+    for_each_open([](open_connection& it) {
+        if (it.is_reading_body) {
+            it.is_refused = true;
+            it.stream->lower().cancel();
+        }
+    });
+}
+
 asio::awaitable<bool> http_server::state::serve_one(open_connection& connection,
                                                     beast::flat_buffer& buf)
 {
@@ -295,7 +327,14 @@
     }
     if (!ec) {
         stream.lower().expires_after(limits.read_timeout);
+        connection.is_reading_body = true;
         std::tie(ec, n) = co_await http::async_read(stream, buf, parser, use_tuple);
+        connection.is_reading_body = false;
+    }
+    if (ec && connection.is_refused) {
+        server_exchange refused{stream, buf, {}, false, limits};
+        co_await refused.reply(stopping_response());
+        co_return false;
     }
     if (ec && is_connection_end(ec)) {
         co_return false;
@@ -361,6 +400,7 @@
         co_await stream.shutdown_tls();
     }
     stream.lower().socket().shutdown(tcp::socket::shutdown_send, ec);
+    const scoped_count counted_end{closing};
     co_await drop_input(stream.lower());
 }
 
@@ -424,6 +464,16 @@
     return state_->requests;
 }
 
+std::size_t http_server::closing_connections() const
+{
+    return state_->closing;
+}
+
+void http_server::refuse_incomplete_requests()
+{
+    state_->refuse_incomplete_requests();
+}
+
 std::size_t http_server::open_connections() const
 {
     return state_->connections;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -80,8 +80,14 @@
     void set_limits(const http_server_limits& limits);
     /// Stops accepting connections; open ones are closed after their next response. Thread-safe.
     void stop_accepting();
+    /// Refuses the requests whose bodies have not arrived completely, with 503 as not run. Requests
+    /// that arrive later are read as usual. Thread-safe.
+    void refuse_incomplete_requests();
     /// Requests that are being handled. Thread-safe.
     std::size_t requests_in_progress() const;
+    /// Connections that were closed after their last response, which the caller may not have read
+    /// yet. Thread-safe.
+    std::size_t closing_connections() const;
     std::size_t open_connections() const;
 
 private:
