Skip interim responses in calls of the store and the peers' HTTP interfaces

What the caller of call_http saw: an interim response (1xx) as the whole answer. The final one then belonged to no call; with a kept connection it could be read as the answer to the next. Found by the test of responses that end early: of all prefixes of seven forms, only the interim one was taken for a complete response.

Cause: call_on_connection() read one header. Now up to four are skipped; more fail the call.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -29,6 +29,9 @@
 /// Limits the bytes that can't be parsed yet, such as a chunk header that never ends.
 constexpr std::size_t max_buffered = 64 * 1024;
 constexpr int max_unanswered_probes = 2;
+/// Interim responses that are skipped before the connection counts as failed.
+constexpr int max_interim_responses = 4;
+constexpr int first_final_status = 200;
 
 http::request<http::string_body> to_beast(const http_request& request, bool is_keep_alive)
 {
@@ -213,6 +216,24 @@
     socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>{max_unanswered_probes}, ec);
 }
 
+namespace {
+
+/// Reads headers until one belongs to a final response.
+asio::awaitable<std::string> read_final_header(http_connection& connection, http_response& response,
+                                               std::chrono::milliseconds timeout)
+{
+    for (int i = 0; i <= max_interim_responses; ++i) {
+        response = {};
+        auto error = co_await connection.read_header(response, timeout);
+        if (!error.empty() || response.status >= first_final_status) {
+            co_return error;
+        }
+    }
+    co_return "received only interim responses";
+}
+
+} // namespace
+
 asio::awaitable<probe_result> probe_listener(ip_endpoint address, std::chrono::milliseconds timeout)
 {
     boost::system::error_code ec;
@@ -262,7 +283,7 @@
     if (!result.message.empty()) {
         co_return result;
     }
-    result.message = co_await connection.read_header(result.response, timeouts.read);
+    result.message = co_await read_final_header(connection, result.response, timeouts.read);
     if (!result.message.empty()) {
         co_return result;
     }
