Record the cause of a crash among requests with long lists of prompt parts

Cause: a crash kept 256 suspects, in the order of their reports. A few sound requests that waited at the server filled it, the deadly part was never recorded, and what was recorded of all crashes was the shared part. Now it keeps 2,048, eight of the longest lists; when they are used up, a suspect of another crash takes the place of one that this crash has alone. All crashes together keep 16,384, then the oldest is forgotten. Suspects are a set, as long lists made the search in them costly.

Evidence: quarantine_test, "the cause is found when the requests beside it have long lists of prompt parts" (the shared part alone was found with 256), and two cases of the bounds.

--- a/src/granting/quarantine.cpp
+++ b/src/granting/quarantine.cpp
@@ -41,7 +41,7 @@
         return;
     }
     for (auto& it : table.crashes) {
-        std::erase(it.suspects, id);
+        it.suspects.erase(id);
     }
 }
 
@@ -111,10 +111,10 @@
 
 /// Applies a crash during a trial: the cause is among the fingerprints that took part in it.
 void narrow_rivals(quarantine_table& table, quarantine_decision& decision,
-                   const fingerprints& suspects, steady_time now)
+                   const server_crash& crash, steady_time now)
 {
     const auto removed =
-        std::erase_if(decision.rivals, [&](auto id) { return !contains(suspects, id); });
+        std::erase_if(decision.rivals, [&](auto id) { return !crash.suspects.contains(id); });
     if (removed > 0 && decision.rivals.empty()) {
         note_certain(table, decision, now);
     }
@@ -143,11 +143,11 @@
 /// Applies a crash that quarantined fingerprints explain to their quarantines.
 void apply_explained(quarantine_table& table, const server_crash& crash, steady_time now)
 {
-    for (const auto id : quarantined_of(table, crash.suspects)) {
+    for (const auto id : quarantined_of(table, {crash.suspects.begin(), crash.suspects.end()})) {
         auto& decision = table.decisions.at(id);
         const bool was_trial = contains(crash.trial, id);
         if (was_trial) {
-            narrow_rivals(table, decision, crash.suspects, now);
+            narrow_rivals(table, decision, crash, now);
         }
         extend_quarantine(table, decision, was_trial, now);
     }
@@ -195,12 +195,51 @@
     sound.current[id] = now;
 }
 
-void collect_suspects(quarantine_table& table)
+void forget_oldest_crash(quarantine_table& table)
 {
-    table.suspects.clear();
+    for (const auto id : table.crashes.front().suspects) {
+        const auto it = table.suspects.find(id);
+        if (--it->second == 0) {
+            table.suspects.erase(it);
+        }
+    }
+    table.crashes.pop_front();
+}
+
+std::size_t suspect_count(const quarantine_table& table)
+{
+    std::size_t out = 0;
     for (const auto& it : table.crashes) {
-        table.suspects.insert(it.suspects.begin(), it.suspects.end());
+        out += it.suspects.size();
+    }
+    return out;
+}
+
+/// Makes room for a suspect of another crash too, which may be the cause, by removing one of this
+/// crash alone. Returns false if there is none.
+bool remove_unshared_suspect(quarantine_table& table, server_crash& crash)
+{
+    const auto it = std::find_if(crash.suspects.begin(), crash.suspects.end(),
+                                 [&](auto id) { return table.suspects.at(id) == 1; });
+    if (it == crash.suspects.end()) {
+        return false;
     }
+    table.suspects.erase(*it);
+    crash.suspects.erase(it);
+    return true;
+}
+
+void add_suspect(quarantine_table& table, server_crash& crash, fingerprint id)
+{
+    if (crash.suspects.contains(id)) {
+        return;
+    }
+    const bool is_full = crash.suspects.size() >= table.settings.max_suspects_per_crash;
+    if (is_full && (!table.suspects.contains(id) || !remove_unshared_suspect(table, crash))) {
+        return;
+    }
+    crash.suspects.insert(id);
+    ++table.suspects[id];
 }
 
 server_crash& find_or_add_crash(quarantine_table& table, const std::string& backend_id,
@@ -212,8 +251,7 @@
         }
     }
     if (table.crashes.size() >= table.settings.max_crashes) {
-        table.crashes.pop_front();
-        collect_suspects(table);
+        forget_oldest_crash(table);
     }
     return table.crashes.emplace_back(server_crash{backend_id, now, {}, false, {}});
 }
@@ -264,16 +302,17 @@
     for (const auto id : crash.suspects) {
         const auto answered = last_answer(table, id);
         const bool is_sound_since = answered && *answered > known.at;
-        const bool is_full = known.suspects.size() >= table.settings.max_suspects_per_crash;
-        if (!is_sound_since && !is_full && !contains(known.suspects, id)) {
-            known.suspects.push_back(id);
-            table.suspects.insert(id);
+        if (!is_sound_since) {
+            add_suspect(table, known, id);
         }
     }
     if (std::erase_if(table.trials, [&](const auto& it) { return it.ids == crash.suspects; }) > 0) {
         known.trial = crash.suspects;
     }
     table.is_judgement_due = table.is_judgement_due || known.is_settled;
+    while (table.crashes.size() > 1 && suspect_count(table) > table.settings.max_suspects) {
+        forget_oldest_crash(table);
+    }
 }
 
 std::vector<conviction> judge(quarantine_table& table, steady_time now)
@@ -445,13 +484,8 @@
     });
     std::erase_if(table.trials,
                   [&](const auto& it) { return now - it.started > settings.crash_memory; });
-    bool is_changed = false;
     while (!table.crashes.empty() && now - table.crashes.front().at > settings.crash_memory) {
-        table.crashes.pop_front();
-        is_changed = true;
-    }
-    if (is_changed) {
-        collect_suspects(table);
+        forget_oldest_crash(table);
     }
 }
 
--- a/src/granting/quarantine.h
+++ b/src/granting/quarantine.h
@@ -21,7 +21,7 @@
 struct server_crash {
     std::string backend_id;
     steady_time at{}; ///< of the first report
-    fingerprints suspects;
+    std::unordered_set<fingerprint> suspects;
     bool is_settled = false; ///< all requests are known, and the crash has been judged once
     fingerprints trial;      ///< of a request that ran on the server as a trial, if any
 };
@@ -43,7 +43,7 @@
     quarantine_settings settings;
     std::map<fingerprint, quarantine_decision> decisions;
     std::deque<server_crash> crashes;         ///< oldest first
-    std::unordered_set<fingerprint> suspects; ///< of all crashes
+    std::unordered_map<fingerprint, int> suspects; ///< of all crashes, with their numbers
     std::deque<running_trial> trials;         ///< that this instance admitted, oldest first
     sound_fingerprints sound_parts;
     sound_fingerprints sound_requests; ///< apart, because each request has a fingerprint of its own
--- a/src/granting/tests/quarantine_test.cpp
+++ b/src/granting/tests/quarantine_test.cpp
@@ -221,6 +221,56 @@
     CHECK(s.is_refused({999}));
 }
 
+// The reports of sound requests took up the memory, and the cause was never recorded.
+TEST_CASE("the cause is found when the requests beside it have long lists of prompt parts")
+{
+    constexpr int parts_of_each = 250;
+    constexpr int requests = 7;
+    scenario s;
+    fingerprint next_part = 1'000;
+    for (int n = 0; n < 3; ++n) {
+        s.now += 2'500ms;
+        const auto backend = "b" + std::to_string(n);
+        for (int k = 0; k < requests; ++k) {
+            fingerprints sound{before};
+            for (int it = 0; it < parts_of_each; ++it) {
+                sound.push_back(next_part++);
+            }
+            note_crash(s.table, {backend, sound}, s.now);
+        }
+        note_crash(s.table, {backend, {before, deadly}}, s.now);
+        s.answer({before});
+    }
+    CHECK(s.settle() == fingerprints{deadly});
+    CHECK(!s.is_refused({before, next_part}));
+}
+
+TEST_CASE("a suspect of several crashes is kept when the memory of a crash is used up")
+{
+    scenario s;
+    s.table.settings.max_suspects_per_crash = 4;
+    s.crash({deadly, 20, 21, 22});
+    for (int n = 1; n < 3; ++n) {
+        const auto backend = "c" + std::to_string(n);
+        const fingerprint own = 100 + 10 * static_cast<fingerprint>(n);
+        note_crash(s.table, {backend, {own, own + 1, own + 2, own + 3}}, s.now);
+        note_crash(s.table, {backend, {deadly}}, s.now);
+        s.now += 1'500ms;
+    }
+    CHECK(s.settle() == fingerprints{deadly});
+}
+
+TEST_CASE("the oldest crash is forgotten when the memory of all crashes is used up")
+{
+    scenario s;
+    s.table.settings.max_suspects = 6;
+    for (fingerprint n = 0; n < 20; ++n) {
+        s.crash({100 + 2 * n, 101 + 2 * n});
+        CHECK(s.table.suspects.size() <= 6);
+    }
+    CHECK(s.table.crashes.size() == 3);
+}
+
 TEST_CASE("the newest decision of all instances holds")
 {
     scenario one;
--- a/src/granting/types/quarantine_types.h
+++ b/src/granting/types/quarantine_types.h
@@ -62,7 +62,10 @@
     /// generations.
     std::size_t max_sound = 8'192;
     std::size_t max_crashes = 64; ///< at most 64, the bits of a mask
-    std::size_t max_suspects_per_crash = 256;
+    /// Covers eight requests with the longest list of prompt parts that the gateways read.
+    std::size_t max_suspects_per_crash = 2'048;
+    /// Of all crashes together, beyond which the oldest crash is forgotten.
+    std::size_t max_suspects = 16'384;
     std::size_t max_decisions = 256;
     std::size_t max_rivals = 8; ///< of a decision
     std::size_t max_running_trials = 64;
