Take a response that has begun as proof that its prompt is sound

What callers saw: sound streams refused for as long as one of them lasts.

Cause: only a complete answer counted. What crashes a server does so as it starts to answer; the gateway itself blames no request for a crash later than 200 ms after its first event. So a response that has gone on for these 200 ms is the same proof, and the holder reports it, once, for the requests whose credit asks for it: those with something quarantined, or with something that took part in a crash and had no answer since. In calm no message is added.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <utility>
 
 /// Steps of one attempt to run a request on a backend server.
 namespace almondline::gateway {
@@ -48,6 +49,7 @@
     silence_limit_ = silence_limit_before_response();
     first_event_ = {};
     response_ = {};
+    is_start_reported_ = false;
     is_server_leaving_ = false;
     has_server_crashed_ = false;
     cause_.clear();
@@ -313,6 +315,7 @@
             stop(stop_cause::caller_left);
             co_return;
         }
+        report_start();
         // Only complete events count as progress: a stalled server may still send single bytes or
         // comments, which only keep the connection alive.
         const bool has_progress = events_.last_id() != last_id;
@@ -348,6 +351,16 @@
     keep_connection();
 }
 
+void request_flow::report_start()
+{
+    const bool has_begun =
+        first_event_ != steady_time{} &&
+        context_.clock.now() - first_event_ >= context_.limits.crash_after_first_event;
+    if (credit_.is_start_awaited && has_begun && !std::exchange(is_start_reported_, true)) {
+        context_.credits.report_start(credit_.request_id);
+    }
+}
+
 /// Sends complete events to the caller, preceded by the response header if they are the first ones.
 /// Returns false if the caller has disconnected.
 asio::awaitable<bool> request_flow::forward_events(const std::string& events)
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -76,6 +76,8 @@
     boost::asio::awaitable<void> read_body();
     boost::asio::awaitable<void> relay_events();
     boost::asio::awaitable<bool> forward_events(const std::string& events);
+    /// Reports once to the granter, if it awaits this, that the response has begun without a crash.
+    void report_start();
     /// Finds out whether the server crashed when it started to answer this request.
     boost::asio::awaitable<void> check_crash();
     void keep_connection();
@@ -150,6 +152,7 @@
     bool is_sent_ = false;      ///< sending to the server of this attempt has started
     bool is_written_ = false;   ///< the whole request was sent to the server of this attempt
     bool may_have_run_ = false;
+    bool is_start_reported_ = false;  ///< of the response of this attempt
     bool is_server_leaving_ = false;  ///< the server of this attempt reported that it stops soon
     bool has_server_crashed_ = false; ///< as it started to answer this attempt
     bool has_started_ = false;        ///< part of the response was sent to the caller
--- a/src/granting/credit_client.cpp
+++ b/src/granting/credit_client.cpp
@@ -122,6 +122,16 @@
     }
 }
 
+void credit_client::report_start(const std::string& request_id)
+{
+    const auto it = state_->held.find(request_id);
+    if (it == state_->held.end()) {
+        return;
+    }
+    const auto credit = it->second;
+    state_->send_to_granters(credit, make_start_message(credit.granted));
+}
+
 bool credit_client::cancel(const std::string& request_id)
 {
     const auto entry = state_->remove_pending(request_id);
--- a/src/granting/credit_client.h
+++ b/src/granting/credit_client.h
@@ -50,6 +50,10 @@
     /// granter. Must be called when the header arrives. Ignored if the request holds no credit.
     void note_server(const std::string& request_id, const server_report& report);
 
+    /// Tells the granter that the response of a request has begun. Must be called once if its
+    /// credit asks for it.
+    void report_start(const std::string& request_id);
+
     /// Withdraws a waiting request; its handler will not be called. Returns false if the request
     /// was already answered.
     bool cancel(const std::string& request_id);
--- a/src/granting/granter.cpp
+++ b/src/granting/granter.cpp
@@ -38,6 +38,9 @@
     else if (set.server_report && message.server_report.pool == own) {
         core_->handle_server_report(from, message.server_report, now);
     }
+    else if (set.start && message.start.pool == own) {
+        core_->handle_start(from, message.start, now);
+    }
     else {
         return;
     }
--- a/src/granting/internal/credit_client_state.cpp
+++ b/src/granting/internal/credit_client_state.cpp
@@ -137,7 +137,8 @@
                          grant.backend_address,
                          now + milliseconds{std::clamp<std::int64_t>(grant.lifetime_ms, 0, 60'000)},
                          grant.reason,
-                         grant.rate_limited};
+                         grant.rate_limited,
+                         grant.start_awaited};
     const auto known = held.find(granted.request_id);
     if (known != held.end() && known->second.granted.credit_id == granted.credit_id) {
         return;
--- a/src/granting/internal/granter_core.cpp
+++ b/src/granting/internal/granter_core.cpp
@@ -193,6 +193,8 @@
         chosen.id,          chosen.address, now + settings.credit_lifetime,
         chosen.reason};
     entry.granted.is_rate_limited = routing::is_rate_limited(table, chosen.id);
+    entry.granted.is_start_awaited =
+        quarantine_ != nullptr && is_suspected(*quarantine_, request.fingerprints);
     entry.issued_at = now;
     entry.holder = request.holder;
     entry.running = {request.request_id, request.account, request.kind, request.tier, request.cost};
@@ -231,6 +233,9 @@
     if (entry.granted.is_rate_limited) {
         grant.__set_rate_limited(true);
     }
+    if (entry.granted.is_start_awaited) {
+        grant.__set_start_awaited(true);
+    }
     wire::envelope message;
     message.__set_grant(grant);
     outbox_.emplace_back(entry.holder, std::move(message));
--- a/src/granting/internal/granter_core.h
+++ b/src/granting/internal/granter_core.h
@@ -41,6 +41,8 @@
                          steady_time now);
     void handle_server_report(const std::string& from, const wire::server_report_message& message,
                               steady_time now);
+    /// Takes a response that has begun as an answer: what crashes a server does so by its start.
+    void handle_start(const std::string& from, const wire::start_message& message, steady_time now);
 
     void note_received(const std::string& from, steady_time now) { last_received_[from] = now; }
     void expire_credits(steady_time now);
--- a/src/granting/internal/granter_quarantine.cpp
+++ b/src/granting/internal/granter_quarantine.cpp
@@ -50,6 +50,16 @@
     }
 }
 
+void granter_core::handle_start(const std::string& from, const wire::start_message& message,
+                                steady_time now)
+{
+    const auto* entry = credits.find(message.request_id);
+    if (entry != nullptr && entry->holder == from &&
+        entry->granted.credit_id == message.credit_id) {
+        note_answer(*entry, now);
+    }
+}
+
 void granter_core::note_answer(const issued_credit& entry, steady_time now)
 {
     if (quarantine_ == nullptr || entry.suspects.empty()) {
--- a/src/granting/internal/messages.cpp
+++ b/src/granting/internal/messages.cpp
@@ -242,6 +242,17 @@
     return report;
 }
 
+wire::envelope make_start_message(const credit& granted)
+{
+    wire::start_message out;
+    out.pool = granted.pool;
+    out.request_id = granted.request_id;
+    out.credit_id = granted.credit_id;
+    wire::envelope message;
+    message.__set_start(out);
+    return message;
+}
+
 wire::advertised_rate make_advertised_rate(const std::string& backend_id,
                                            const routing::advertised_rate& rate, steady_time now)
 {
--- a/src/granting/internal/messages.h
+++ b/src/granting/internal/messages.h
@@ -37,6 +37,8 @@
 /// Ignores a rate that is not a usable number.
 server_report read_server_report_message(const wire::server_report_message& message);
 
+wire::envelope make_start_message(const credit& granted);
+
 wire::advertised_rate make_advertised_rate(const std::string& backend_id,
                                            const routing::advertised_rate& rate, steady_time now);
 
--- a/src/granting/quarantine.cpp
+++ b/src/granting/quarantine.cpp
@@ -399,6 +399,13 @@
     return hold;
 }
 
+bool is_suspected(const quarantine_table& table, const fingerprints& ids)
+{
+    return std::any_of(ids.begin(), ids.end(), [&](auto id) {
+        return table.suspects.contains(id) || is_quarantined(table, id);
+    });
+}
+
 bool is_trial(const quarantine_table& table, const fingerprints& ids)
 {
     return std::any_of(table.trials.begin(), table.trials.end(),
--- a/src/granting/quarantine.h
+++ b/src/granting/quarantine.h
@@ -42,9 +42,9 @@
 struct quarantine_table {
     quarantine_settings settings;
     std::map<fingerprint, quarantine_decision> decisions;
-    std::deque<server_crash> crashes;         ///< oldest first
+    std::deque<server_crash> crashes;              ///< oldest first
     std::unordered_map<fingerprint, int> suspects; ///< of all crashes, with their numbers
-    std::deque<running_trial> trials;         ///< that this instance admitted, oldest first
+    std::deque<running_trial> trials;              ///< that this instance admitted, oldest first
     sound_fingerprints sound_parts;
     sound_fingerprints sound_requests; ///< apart, because each request has a fingerprint of its own
     bool is_judgement_due = false;     ///< crashes count that did not count before
@@ -65,7 +65,8 @@
 /// Must be called every 50 to 100 ms.
 std::vector<conviction> judge(quarantine_table& table, steady_time now);
 
-/// Records that a request was answered, and returns the fingerprints whose quarantine it ends.
+/// Records that a request was answered, or that its response has begun without a crash, and returns
+/// the fingerprints whose quarantine it ends.
 fingerprints note_answer(quarantine_table& table, const fingerprints& ids, steady_time now);
 
 /// Returns how long a request has to wait because of its quarantined fingerprints; nothing if it
@@ -78,6 +79,10 @@
 std::optional<quarantine_hold> admit(quarantine_table& table, const fingerprints& ids,
                                      steady_time now);
 
+/// Returns whether one of the fingerprints is quarantined or took part in a crash since its last
+/// answer.
+bool is_suspected(const quarantine_table& table, const fingerprints& ids);
+
 /// Returns whether a request with these fingerprints runs, or waits, as a trial.
 bool is_trial(const quarantine_table& table, const fingerprints& ids);
 
--- a/src/granting/types/credit.h
+++ b/src/granting/types/credit.h
@@ -24,6 +24,9 @@
     steady_time expires{};        ///< unless confirmed before
     std::string reason;           ///< why this backend server was chosen, for the log and operators
     bool is_rate_limited = false; ///< the backend server advertised a request rate
+    /// Something that the request contains is suspected to crash backend servers: the holder has to
+    /// report when its response has begun.
+    bool is_start_awaited = false;
 };
 
 /// Answer to a credit request: a credit or a refusal.
--- a/src/peer/envelope_kind.cpp
+++ b/src/peer/envelope_kind.cpp
@@ -9,11 +9,11 @@
 namespace {
 
 constexpr std::array<std::string_view, envelope_kind_count> kind_names{
-    "none",          "greeting",  "ping",   "ping_ack", "announcement",    "body_request",
-    "body",          "ask",       "grant",  "refusal",  "confirmation",    "release",
-    "cancel",        "holdings",  "claim",  "claimed",  "query",           "outcome",
-    "explain",       "explained", "demand", "drain",    "servers_request", "servers",
-    "server_report", "quarantine"};
+    "none",          "greeting",   "ping",   "ping_ack", "announcement",    "body_request",
+    "body",          "ask",        "grant",  "refusal",  "confirmation",    "release",
+    "cancel",        "holdings",   "claim",  "claimed",  "query",           "outcome",
+    "explain",       "explained",  "demand", "drain",    "servers_request", "servers",
+    "server_report", "quarantine", "start"};
 
 } // namespace
 
@@ -45,7 +45,8 @@
                                                        set.servers_request,
                                                        set.servers,
                                                        set.server_report,
-                                                       set.quarantine};
+                                                       set.quarantine,
+                                                       set.start};
     for (std::size_t n = 1; n < is_set.size(); ++n) {
         if (is_set[n]) {
             return static_cast<envelope_kind>(n);
--- a/src/peer/envelope_kind.h
+++ b/src/peer/envelope_kind.h
@@ -39,10 +39,11 @@
     servers_request,
     servers,
     server_report,
-    quarantine
+    quarantine,
+    start
 };
 
-constexpr std::size_t envelope_kind_count = 26;
+constexpr std::size_t envelope_kind_count = 27;
 
 /// Returns the first field that is set, or none.
 envelope_kind kind_of(const wire::envelope& message);
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -97,6 +97,9 @@
   // The granter limits the requests to the backend server because it advertised a request rate. The
   // holder reports whether its response still does.
   9: optional bool rate_limited,
+  // Requests with something that this one contains crashed backend servers. The holder reports when
+  // its response has begun without a crash.
+  10: optional bool start_awaited,
 }
 
 struct refusal_message {
@@ -177,6 +180,13 @@
   6: optional double requests_per_second,
 }
 
+// The response of a request has begun, and its backend server has not crashed by that.
+struct start_message {
+  1: required string pool,
+  2: required string request_id,
+  3: required string credit_id,
+}
+
 enum claim_status { claimed = 1, duplicate = 2, refused = 3, unknown = 4 }
 
 // Requests a claim of a caller-chosen idempotency key from the owner of its key range, before the
@@ -366,4 +376,5 @@
   23: server_list_reply servers,
   24: server_report_message server_report,
   25: quarantine_message quarantine,
+  26: start_message start,
 }
