Tell the new owner of a pool which crashes its holders reported to the former

Cause: the crashes that were not yet enough for a decision were known to the granter only. Class of fault: state that a hand-over has to carry was kept in one process. Now each holder remembers the crashes that it reported, without what it got an answer with since, and tells them to each new owner, as it does with advertised rates. Crashes carry their age, and settle from their arrival.

--- a/src/fuzz/targets/peer_frame.cpp
+++ b/src/fuzz/targets/peer_frame.cpp
@@ -70,8 +70,11 @@
         require(it.trial_interval.count() >= 0, "the interval of trials is not negative");
         granting::apply_decision(table, it, start);
     }
-    for (const auto& it : granting::read_crashes(envelope.quarantine)) {
-        granting::note_crash(table, it, start);
+    for (const auto* crashes : {&envelope.quarantine.crashes, &envelope.crashes.crashes}) {
+        for (const auto& it : granting::read_crashes(*crashes)) {
+            require(it.age.count() >= 0, "a crash is not in the future");
+            granting::note_crash(table, it, start);
+        }
     }
     const auto crash = granting::read_crash(envelope.release);
     granting::note_crash(table, crash, start);
--- a/src/granting/credit_client.cpp
+++ b/src/granting/credit_client.cpp
@@ -105,6 +105,12 @@
     view.held.erase(request_id);
     // Even if the release is lost, the next report shows the owner that the credit is not in use.
     view.is_report_due = true;
+    if (!report.crash_suspects.empty()) {
+        state_->note_crash(credit, report.crash_suspects, state_->clock.now());
+    }
+    else if (report.outcome == release_outcome::finished) {
+        remove_answered(state_->crashes, credit.request.fingerprints);
+    }
     state_->send_to_granters(credit, make_release_message(credit.granted, report));
 }
 
@@ -129,6 +135,7 @@
         return;
     }
     const auto credit = it->second;
+    remove_answered(state_->crashes, credit.request.fingerprints);
     state_->send_to_granters(credit, make_start_message(credit.granted));
 }
 
@@ -187,6 +194,7 @@
     state_->send_due_confirmations(now);
     state_->remove_old_rates(now);
     state_->report_due_holdings(now);
+    state_->report_crashes(now);
 }
 
 void credit_client::check_owners()
--- a/src/granting/internal/credit_client_state.cpp
+++ b/src/granting/internal/credit_client_state.cpp
@@ -1,6 +1,7 @@
 #include "granting/internal/credit_client_state.h"
 
 #include "common/log.h"
+#include "granting/internal/quarantine_messages.h"
 #include "routing/request_rate.h"
 
 #include <algorithm>
@@ -295,6 +296,23 @@
     }
 }
 
+void credit_client::state::note_crash(const held_credit& credit, const fingerprints& suspects,
+                                      steady_time now)
+{
+    const auto& granted = credit.granted;
+    add_record(crashes, {granted.pool, granted.backend_id, suspects, now, lookup(granted.pool)});
+}
+
+void credit_client::state::report_crashes(steady_time now)
+{
+    if (crashes.all.empty()) {
+        return;
+    }
+    for (const auto& it : due_reports(crashes, lookup, now)) {
+        sender.send(it.owner_id, make_crash_history(it.pool, it.crashes));
+    }
+}
+
 void credit_client::state::note_rate(const held_credit& credit, std::optional<double> per_second,
                                      steady_time now)
 {
--- a/src/granting/internal/credit_client_state.h
+++ b/src/granting/internal/credit_client_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "granting/credit_client.h"
+#include "granting/internal/crash_records.h"
 #include "granting/internal/messages.h"
 #include "routing/types/advertised_rate.h"
 
@@ -81,6 +82,9 @@
     void note_rate(const held_credit& credit, std::optional<double> per_second, steady_time now);
     std::vector<wire::advertised_rate> rates_of(const std::string& pool, steady_time now) const;
     void remove_old_rates(steady_time now);
+    /// Records the crash of the backend server of a credit, which is reported to its granter.
+    void note_crash(const held_credit& credit, const fingerprints& suspects, steady_time now);
+    void report_crashes(steady_time now);
 
     credit_client_settings settings;
     const clock_source& clock;
@@ -92,6 +96,7 @@
     std::unordered_map<std::string, held_credit> held;
     std::map<std::string, pool_view> pools;
     std::map<std::string, known_rate> rates; ///< by id of the backend server
+    crash_records crashes;
     // Request ids by the time at which the action is due.
     std::set<std::pair<steady_time, std::string>> by_resend;
     std::set<std::pair<steady_time, std::string>> by_deadline;
--- a/src/granting/internal/quarantine_messages.cpp
+++ b/src/granting/internal/quarantine_messages.cpp
@@ -25,6 +25,24 @@
     return std::max(milliseconds{0}, read_time(ms));
 }
 
+crash_evidence read_crash(const wire::server_crash& message)
+{
+    return {message.backend_id,
+            {message.prompt_parts.begin(), message.prompt_parts.end()},
+            read_age(message.ms_ago)};
+}
+
+wire::server_crash to_wire(const crash_evidence& crash)
+{
+    wire::server_crash out;
+    out.backend_id = crash.backend_id;
+    out.prompt_parts.assign(crash.suspects.begin(), crash.suspects.end());
+    if (crash.age.count() > 0) {
+        out.__set_ms_ago(crash.age.count());
+    }
+    return out;
+}
+
 } // namespace
 
 wire::envelope make_decisions_message(const std::string& service,
@@ -53,17 +71,27 @@
 
 wire::envelope make_crash_message(const std::string& service, const crash_evidence& crash)
 {
-    wire::server_crash event;
-    event.backend_id = crash.backend_id;
-    event.prompt_parts.assign(crash.suspects.begin(), crash.suspects.end());
     wire::quarantine_message out;
     out.service_name = service;
-    out.__set_crashes({event});
+    out.__set_crashes({to_wire(crash)});
     wire::envelope message;
     message.__set_quarantine(out);
     return message;
 }
 
+wire::envelope make_crash_history(const std::string& pool,
+                                  const std::vector<crash_evidence>& crashes)
+{
+    wire::crash_history out;
+    out.pool = pool;
+    for (const auto& it : crashes) {
+        out.crashes.push_back(to_wire(it));
+    }
+    wire::envelope message;
+    message.__set_crashes(out);
+    return message;
+}
+
 std::vector<quarantine_decision> read_decisions(const wire::quarantine_message& message,
                                                 steady_time now)
 {
@@ -82,18 +110,20 @@
     return out;
 }
 
-std::vector<crash_evidence> read_crashes(const wire::quarantine_message& message)
+std::vector<crash_evidence> read_crashes(const std::vector<wire::server_crash>& messages)
 {
     std::vector<crash_evidence> out;
-    for (const auto& it : message.crashes) {
-        out.push_back({it.backend_id, {it.prompt_parts.begin(), it.prompt_parts.end()}});
+    for (const auto& it : messages) {
+        out.push_back(read_crash(it));
     }
     return out;
 }
 
 crash_evidence read_crash(const wire::release_message& message)
 {
-    return {message.backend_id, {message.crashed_parts.begin(), message.crashed_parts.end()}};
+    return {message.backend_id,
+            {message.crashed_parts.begin(), message.crashed_parts.end()},
+            milliseconds{0}};
 }
 
 } // namespace almondline::granting
--- a/src/granting/quarantine.cpp
+++ b/src/granting/quarantine.cpp
@@ -157,7 +157,7 @@
 void settle_crashes(quarantine_table& table, steady_time now)
 {
     for (auto& it : table.crashes) {
-        if (!it.is_settled && now - it.at >= table.settings.settle_time) {
+        if (!it.is_settled && now - it.reported >= table.settings.settle_time) {
             it.is_settled = true;
             table.is_judgement_due = true;
             apply_explained(table, it, now);
@@ -243,17 +243,20 @@
 }
 
 server_crash& find_or_add_crash(quarantine_table& table, const std::string& backend_id,
-                                steady_time now)
+                                steady_time at, steady_time now)
 {
     for (auto it = table.crashes.rbegin(); it != table.crashes.rend(); ++it) {
-        if (it->backend_id == backend_id && now - it->at <= table.settings.crash_merge_window) {
+        const auto apart = std::max(at - it->at, it->at - at);
+        if (it->backend_id == backend_id && apart <= table.settings.crash_merge_window) {
             return *it;
         }
     }
     if (table.crashes.size() >= table.settings.max_crashes) {
         forget_oldest_crash(table);
     }
-    return table.crashes.emplace_back(server_crash{backend_id, now, {}, false, {}});
+    const auto next = std::find_if(table.crashes.begin(), table.crashes.end(),
+                                   [&](const auto& it) { return it.at > at; });
+    return *table.crashes.insert(next, server_crash{backend_id, at, now, {}, false, {}});
 }
 
 /// Returns when a request with these fingerprints may run as a trial of one of them.
@@ -298,7 +301,7 @@
 
 void note_crash(quarantine_table& table, const crash_evidence& crash, steady_time now)
 {
-    auto& known = find_or_add_crash(table, crash.backend_id, now);
+    auto& known = find_or_add_crash(table, crash.backend_id, now - crash.age, now);
     for (const auto id : crash.suspects) {
         const auto answered = last_answer(table, id);
         const bool is_sound_since = answered && *answered > known.at;
--- a/src/granting/quarantine.h
+++ b/src/granting/quarantine.h
@@ -20,7 +20,8 @@
 /// removes a fingerprint from all earlier crashes.
 struct server_crash {
     std::string backend_id;
-    steady_time at{}; ///< of the first report
+    steady_time at{};
+    steady_time reported{}; ///< first report to this instance
     std::unordered_set<fingerprint> suspects;
     bool is_settled = false; ///< all requests are known, and the crash has been judged once
     fingerprints trial;      ///< of a request that ran on the server as a trial, if any
--- a/src/granting/quarantine_exchange.cpp
+++ b/src/granting/quarantine_exchange.cpp
@@ -52,6 +52,15 @@
         }
         return false;
     }
+    if (message.__isset.crashes) {
+        const auto service = service_of_pool_(message.crashes.pool);
+        for (const auto& it : read_crashes(message.crashes.crashes)) {
+            if (!service.empty()) {
+                note_crash(service, it);
+            }
+        }
+        return true;
+    }
     if (!message.__isset.quarantine) {
         return false;
     }
@@ -60,7 +69,7 @@
     for (const auto& it : read_decisions(message.quarantine, now)) {
         apply(service, it, now);
     }
-    for (const auto& it : read_crashes(message.quarantine)) {
+    for (const auto& it : read_crashes(message.quarantine.crashes)) {
         note_crash(service, it);
     }
     return true;
--- a/src/granting/quarantine_exchange.h
+++ b/src/granting/quarantine_exchange.h
@@ -42,9 +42,9 @@
     quarantine_table& table_of(const std::string& service);
     const quarantine_table* find_table(const std::string& service) const;
     void set_members(std::vector<std::string> ids);
-    /// Applies decisions and crashes of other instances, and the crash that a holder reports when
-    /// it releases a credit. Returns false if the message is of another kind; a release is also for
-    /// its granter.
+    /// Applies decisions and crashes of other instances, the crash that a holder reports when it
+    /// releases a credit, and those that it reports to a new owner. Returns false if the message is
+    /// of another kind; a release is also for its granter.
     bool handle(const wire::envelope& message);
     void tick(steady_time now);
     std::size_t quarantined_count() const;
--- a/src/granting/types/quarantine_types.h
+++ b/src/granting/types/quarantine_types.h
@@ -74,7 +74,8 @@
 /// Crash of a backend server while it started to answer a request.
 struct crash_evidence {
     std::string backend_id;
-    fingerprints suspects; ///< of the request
+    fingerprints suspects;            ///< of the request
+    std::chrono::milliseconds age{0}; ///< since it was noticed
 };
 
 /// Whether a fingerprint is quarantined, in a form that instances exchange. The newest decision
--- a/src/peer/envelope_kind.cpp
+++ b/src/peer/envelope_kind.cpp
@@ -13,7 +13,7 @@
     "body",          "ask",        "grant",  "refusal",  "confirmation",    "release",
     "cancel",        "holdings",   "claim",  "claimed",  "query",           "outcome",
     "explain",       "explained",  "demand", "drain",    "servers_request", "servers",
-    "server_report", "quarantine", "start"};
+    "server_report", "quarantine", "start",  "crashes"};
 
 } // namespace
 
@@ -46,7 +46,8 @@
                                                        set.servers,
                                                        set.server_report,
                                                        set.quarantine,
-                                                       set.start};
+                                                       set.start,
+                                                       set.crashes};
     for (std::size_t n = 1; n < is_set.size(); ++n) {
         if (is_set[n]) {
             return static_cast<envelope_kind>(n);
--- a/src/peer/envelope_kind.h
+++ b/src/peer/envelope_kind.h
@@ -40,10 +40,11 @@
     servers,
     server_report,
     quarantine,
-    start
+    start,
+    crashes
 };
 
-constexpr std::size_t envelope_kind_count = 27;
+constexpr std::size_t envelope_kind_count = 28;
 
 /// Returns the first field that is set, or none.
 envelope_kind kind_of(const wire::envelope& message);
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -45,7 +45,7 @@
                      message.demand.replicas.size(), message.drain.replicas.size(),
                      message.ask.prompt_parts.size(), message.release.crashed_parts.size(),
                      message.quarantine.decisions.size(), message.quarantine.crashes.size(),
-                     max_model_list_size(message.demand)});
+                     message.crashes.crashes.size(), max_model_list_size(message.demand)});
 }
 
 void append_header(std::size_t body_bytes, std::string& out)
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -324,6 +324,13 @@
 struct server_crash {
   1: required string backend_id,
   2: required list<i64> prompt_parts,
+  3: optional i64 ms_ago,  // unset: it was just noticed
+}
+
+// Crashes that a holder reported to a former owner of the pool, for the new one.
+struct crash_history {
+  1: required string pool,
+  2: required list<server_crash> crashes,
 }
 
 // Whether requests with a prompt part are kept away from the backend servers of a service. Times
@@ -377,4 +384,5 @@
   24: server_report_message server_report,
   25: quarantine_message quarantine,
   26: start_message start,
+  27: crash_history crashes,
 }
--- a/tests/platform/crashing_group_test.py
+++ b/tests/platform/crashing_group_test.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import signal
 import sys
 import threading
 import time
@@ -25,9 +26,20 @@
 FIRST_EVENT = 0.25    # seconds until a sound stream begins; a deadly one crashes its replica sooner
 DEADLY_AFTER = 0.06
 SOUND_SHARE = 0.9     # of the sound requests that must be served after that
+ALLOWED = 3           # deadly requests that may reach replicas after that
 LEARNED_AFTER = 5     # crashes
 
 
+def granting_gateway(fleet, living):
+    """Returns the number of the living gateway that owns the pools."""
+    for n in living:
+        text = fleet.gateways[n].call("metrics", "GET", "/metrics").body.decode()
+        owned = [line for line in text.splitlines() if line.startswith("almondline_pools_owned")]
+        if owned and float(owned[0].split()[1]) > 0:
+            return n
+    raise AssertionError("no gateway owns a pool")
+
+
 class CrashingGroupTest(unittest.TestCase):
     def prepare(self, fleet):
         fleet.add_replica("pool-2", "pool")
@@ -108,6 +120,12 @@
         self.assertGreater(len(late), 20)
         return sum(late) / len(late)
 
+    def late_arrivals(self):
+        if len(self.crashes) < LEARNED_AFTER:
+            return 0
+        since = self.crashes[LEARNED_AFTER - 1] + CONTACT
+        return sum(1 for it in self.deadly_arrivals if it > since)
+
     def test_part_that_waiting_requests_share_with_the_deadly_ones_is_served(self):
         with self.run_fleet(events=16, event_pause=0.2) as fleet:
             for _ in range(2):
@@ -133,6 +151,30 @@
                 time.sleep(1)
             self.assertGreaterEqual(self.share_that_began(since), SOUND_SHARE)
 
+    def test_deadly_part_is_found_when_the_granting_gateway_ends_between_its_crashes(self):
+        # What had crashed before was known to the granting gateway only.
+        for number in [signal.SIGTERM, signal.SIGKILL]:
+            with self.subTest(number), self.run_fleet(events=4, event_pause=0.1) as fleet:
+                living = list(range(GATEWAYS))
+                for n in range(10):
+                    self.send_group(fleet, living)
+                    self.send(fleet, f"beef:60,{DEADLY},", n, living)
+                    time.sleep(0.8)
+                    if n in (1, 3):
+                        ended = granting_gateway(fleet, living)
+                        living.remove(ended)
+                        fleet.gateways[ended].process.signal(number)
+                        time.sleep(1)
+                end = time.monotonic() + 4
+                while time.monotonic() < end:
+                    self.send(fleet, f"beef:60,{DEADLY},", n, living)
+                    time.sleep(0.2)
+                self.is_over.set()
+                for it in self.threads:
+                    it.join()
+                self.assertLessEqual(self.late_arrivals(), ALLOWED)
+                self.assertLessEqual(len(self.crashes), LEARNED_AFTER)
+
 
 if __name__ == "__main__":
     unittest.main()
