--- a/src/granting/internal/quarantine_messages.cpp
+++ b/src/granting/internal/quarantine_messages.cpp
@@ -84,6 +84,7 @@
 {
     wire::crash_history out;
     out.pool = pool;
+    out.crashes.reserve(crashes.size());
     for (const auto& it : crashes) {
         out.crashes.push_back(to_wire(it));
     }
@@ -113,6 +114,7 @@
 std::vector<crash_evidence> read_crashes(const std::vector<wire::server_crash>& messages)
 {
     std::vector<crash_evidence> out;
+    out.reserve(messages.size());
     for (const auto& it : messages) {
         out.push_back(read_crash(it));
     }
