Find the granting gateway in one place of the tests

platform_crashing_group had a copy of granting_gateway() that skipped ended gateways, and an unused constant. The shared one, of platform_server_rate, skips gateways that do not run.

--- a/tests/platform/crashing_group_test.py
+++ b/tests/platform/crashing_group_test.py
@@ -16,9 +16,9 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from gateway_fleet import GatewayFleet, desired_state, route  # noqa: E402
+from server_rate_test import granting_gateway  # noqa: E402
 
 GATEWAYS = 3
-REPLICAS = 3
 DEADLY = "dead:40"
 CONTACT = 3.0         # seconds after the last crash in which the deadly part has to be found
 DOWN = 1.5            # seconds until a crashed replica is back
@@ -30,16 +30,6 @@
 LEARNED_AFTER = 5     # crashes
 
 
-def granting_gateway(fleet, living):
-    """Returns the number of the living gateway that owns the pools."""
-    for n in living:
-        text = fleet.gateways[n].call("metrics", "GET", "/metrics").body.decode()
-        owned = [line for line in text.splitlines() if line.startswith("almondline_pools_owned")]
-        if owned and float(owned[0].split()[1]) > 0:
-            return n
-    raise AssertionError("no gateway owns a pool")
-
-
 class CrashingGroupTest(unittest.TestCase):
     def prepare(self, fleet):
         fleet.add_replica("pool-2", "pool")
@@ -162,9 +152,9 @@
                     self.send(fleet, f"beef:60,{DEADLY},", n, living)
                     time.sleep(0.8)
                     if n in (1, 3):
-                        ended = granting_gateway(fleet, living)
-                        living.remove(ended)
-                        fleet.gateways[ended].process.signal(number)
+                        ended = granting_gateway(fleet)
+                        living.remove(fleet.gateways.index(ended))
+                        ended.process.signal(number)
                         time.sleep(1)
                 end = time.monotonic() + 4
                 while time.monotonic() < end:
--- a/tests/platform/server_rate_test.py
+++ b/tests/platform/server_rate_test.py
@@ -72,8 +72,10 @@
 
 
 def granting_gateway(fleet):
-    """Returns the gateway that owns the pools."""
+    """Returns the running gateway that owns the pools."""
     for it in fleet.gateways:
+        if not it.process.is_running():
+            continue
         text = it.call("metrics", "GET", "/metrics").body.decode()
         owned = [line for line in text.splitlines() if line.startswith("almondline_pools_owned")]
         if owned and float(owned[0].split()[1]) > 0:
