Name the time limit as the end of a request in the log

Cause: the timeout of the reads fired 1 ms after the deadline, together with the timer that ends the request; whichever came first named the cause. Writes timed out at the deadline itself.

Change: connections to servers time out a second after the deadline, so the deadline ends the request; its end is logged with the limit, the stop or the caller as its cause.

Before: platform_time_limit fails, with both "Operation canceled" and the socket timeout as causes of ten streams cut at their limit. After: passes. Callers get what they got before."

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -145,7 +145,7 @@
         metadata.resume_after = last_event_id_;
     }
     const auto message = context_.protocol.encode(call_, metadata);
-    auto error = co_await attempt.connection->write_request(message, time_left());
+    auto error = co_await attempt.connection->write_request(message, io_timeout());
     attempt.is_written = error.empty();
     co_return error;
 }
@@ -175,7 +175,7 @@
     auto& response = attempt.response;
     for (int i = 0; i < context_.limits.max_mismatched_responses; ++i) {
         response = {};
-        const auto error = co_await attempt.connection->read_header(response, read_timeout());
+        const auto error = co_await attempt.connection->read_header(response, io_timeout());
         if (!error.empty()) {
             co_return error;
         }
@@ -189,7 +189,7 @@
         while (!is_done && skipped <= context_.limits.max_response_body) {
             std::string unused;
             const auto body_error =
-                co_await attempt.connection->read_some(unused, is_done, read_timeout());
+                co_await attempt.connection->read_some(unused, is_done, io_timeout());
             if (!body_error.empty()) {
                 co_return body_error;
             }
@@ -258,7 +258,7 @@
     auto& body = attempt.response.body;
     bool is_done = false;
     while (!is_done) {
-        auto error = co_await attempt.connection->read_some(body, is_done, read_timeout());
+        auto error = co_await attempt.connection->read_some(body, is_done, io_timeout());
         note_progress(attempt);
         if (error.empty() && body.size() > context_.limits.max_response_body) {
             error = "the response body exceeds the size limit";
@@ -343,7 +343,7 @@
 asio::awaitable<bool> request_flow::relay_part(server_attempt& attempt, bool& is_done)
 {
     std::string data;
-    auto error = co_await attempt.connection->read_some(data, is_done, read_timeout());
+    auto error = co_await attempt.connection->read_some(data, is_done, io_timeout());
     if (attempt.is_superseded) {
         co_return false;
     }
@@ -425,6 +425,7 @@
     attempt.is_forwarding = false;
     if (!is_written) {
         stopped_ = stop_cause::caller_left;
+        attempt.cause = describe(stopped_);
         attempt.result = attempt_end::stopped;
         attempt.connection.reset();
     }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -121,9 +121,9 @@
     return std::max(milliseconds{0}, since(context_.clock.now(), deadline_));
 }
 
-milliseconds request_flow::read_timeout() const
+milliseconds request_flow::io_timeout() const
 {
-    return time_left() + milliseconds{1};
+    return time_left() + context_.limits.io_timeout_margin;
 }
 
 /// Returns how long a server may send nothing before another one is looked for.
@@ -332,6 +332,21 @@
     return true;
 }
 
+std::string_view request_flow::describe(stop_cause cause)
+{
+    switch (cause) {
+    case stop_cause::none:
+        return "";
+    case stop_cause::caller_left:
+        return "the caller disconnected";
+    case stop_cause::time_up:
+        return "the time of the route or of the caller is up";
+    case stop_cause::instance_stops:
+        return "this instance is stopping";
+    }
+    return "";
+}
+
 void request_flow::stop(stop_cause cause)
 {
     stopped_ = cause;
@@ -340,6 +355,7 @@
             continue;
         }
         if (it.result != attempt_end::completed) {
+            it.cause = describe(cause);
             it.result = has_server_timed_out(it) ? attempt_end::timed_out : attempt_end::stopped;
         }
         may_have_run_ = may_have_run_ || it.is_sent;
@@ -426,8 +442,7 @@
 asio::awaitable<void> request_flow::refuse_time_up()
 {
     refusal reason{may_have_run_ ? verdict::may_have_run : verdict::not_run, "time-up",
-                   "the time of the route or of the caller is up",
-                   context_.limits.default_retry_after};
+                   std::string{describe(stop_cause::time_up)}, context_.limits.default_retry_after};
     co_await refuse(may_have_run_ ? 504 : 503, std::move(reason));
 }
 
@@ -435,7 +450,7 @@
 asio::awaitable<void> request_flow::refuse_stopping()
 {
     refusal reason{may_have_run_ ? verdict::may_have_run : verdict::not_run, "stopping",
-                   "this instance is stopping", milliseconds{1}};
+                   std::string{describe(stop_cause::instance_stops)}, milliseconds{1}};
     co_await refuse(may_have_run_ ? 502 : 503, std::move(reason));
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -130,6 +130,7 @@
     const server_attempt* final_attempt() const;
     bool is_completed() const;
     void stop(stop_cause cause);
+    static std::string_view describe(stop_cause cause);
     bool has_server_timed_out(const server_attempt& attempt) const;
     boost::asio::awaitable<void> finish();
     boost::asio::awaitable<void> finish_stream();
@@ -154,8 +155,9 @@
     void update_end();
     void note_answer_time();
     std::chrono::milliseconds time_left() const;
-    /// Time for which to wait for a server: until the deadline, at which the request is stopped.
-    std::chrono::milliseconds read_timeout() const;
+    /// Timeout of the connection to a server. Later than the deadline, which ends the request, so
+    /// that a limit of the request is not taken for a failure of the server.
+    std::chrono::milliseconds io_timeout() const;
     std::chrono::milliseconds silence_limit(std::chrono::milliseconds target, double factor) const;
     std::chrono::milliseconds silence_limit_before_response() const;
     void note_progress(server_attempt& attempt) const
--- a/src/gateway/types/flow_limits.h
+++ b/src/gateway/types/flow_limits.h
@@ -11,6 +11,9 @@
     /// A connection to a backend server is closed when sent bytes stay unacknowledged for this
     /// long.
     std::chrono::milliseconds unacknowledged_timeout{1'500};
+    /// Reads and writes on a connection to a backend server time out this long after the request's
+    /// deadline.
+    std::chrono::milliseconds io_timeout_margin{1'000};
     /// For the connection that finds out whether a server that broke off a response still runs.
     std::chrono::milliseconds crash_check_timeout{200};
     /// A response that broke off later than this after its first event did not crash its server by
