Log why a caller's connection is closed

Change: one line "connection-closed" for each connection that the instance closes, with the caller's address, the reason and the number of requests. Closes that a response announced are logged at level debug, since there is one for each caller that asks for it. Closes by callers are not logged.

--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -35,8 +35,10 @@
     std::string remote_address() const override;
 
     bool is_answered() const { return is_answered_; }
+    /// True if the whole response was sent.
+    bool is_complete() const { return is_open_ && is_answered_ && !is_streaming_; }
     /// True if the connection can carry another request.
-    bool can_continue() const { return is_open_ && keep_alive_ && is_answered_ && !is_streaming_; }
+    bool can_continue() const { return is_complete() && keep_alive_; }
 
 private:
     /// Decides whether the connection stays open. A caller that has sent its next request already
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -131,11 +131,14 @@
 /// A connection, for changes of the limits. Used on the connection's strand.
 struct open_connection {
     http_stream* stream = nullptr;
+    std::string remote;                      ///< address and port of the caller
     bool is_idle = false;                    ///< waits for the first bytes of a request
     std::chrono::milliseconds idle_limit{0}; ///< of this wait
     bool is_extended = false;                ///< the wait was ended to apply a longer limit
     bool is_reading_body = false;
-    bool is_refused = false; ///< the rest of the body is not awaited any more
+    bool is_refused = false;       ///< the rest of the body is not awaited any more
+    std::size_t requests = 0;      ///< that were answered or cut
+    std::string_view close_reason; ///< why the server closes it; empty if the caller did
 };
 
 struct http_server::state {
@@ -168,6 +171,9 @@
     /// Reads until the caller closes the connection. Closing it with unread input would reset it,
     /// and the caller would lose a response that it has not read yet.
     asio::awaitable<void> drop_input(beast::tcp_stream& stream);
+    /// Logs why the server closes a connection, so that a request that is lost behind it can be
+    /// told from one that crossed the close of an idle connection.
+    void log_close(const open_connection& connection) const;
     /// Returns false if the handler failed.
     asio::awaitable<bool> handle(server_exchange& current);
 
@@ -265,6 +271,9 @@
         connection.is_idle = false;
         buf.commit(n);
         const bool is_extended = std::exchange(connection.is_extended, false);
+        if (ec == beast::error::timeout) {
+            connection.close_reason = "idle-limit";
+        }
         if (!ec || !is_extended) {
             co_return !ec;
         }
@@ -304,6 +313,7 @@
                                                     beast::flat_buffer& buf)
 {
     auto& stream = *connection.stream;
+    connection.close_reason = {};
     const bool has_request = co_await wait_for_request(connection, buf);
     if (!has_request) {
         co_return false;
@@ -323,6 +333,7 @@
     if (!reserved.is_granted()) {
         server_exchange refused{stream, buf, {}, false, limits};
         co_await refused.reply(body_budget_exceeded_response());
+        connection.close_reason = "body-budget";
         co_return false;
     }
     if (!ec) {
@@ -334,6 +345,7 @@
     if (ec && connection.is_refused) {
         server_exchange refused{stream, buf, {}, false, limits};
         co_await refused.reply(stopping_response());
+        connection.close_reason = "stopping";
         co_return false;
     }
     if (ec && is_connection_end(ec)) {
@@ -347,6 +359,7 @@
         auto response = json_response(status_of_read_error(ec), body);
         response.headers.push_back({"X-Verdict", "not-run"});
         co_await broken.reply(std::move(response));
+        connection.close_reason = "request-unreadable";
         co_return false;
     }
     const bool keep_alive = parser.get().keep_alive();
@@ -362,9 +375,23 @@
     else if (!is_handled || !current.is_answered()) {
         current.abort();
     }
+    ++connection.requests;
+    connection.close_reason = current.is_complete() ? "announced" : "aborted";
     co_return current.can_continue();
 }
 
+void http_server::state::log_close(const open_connection& connection) const
+{
+    if (connection.close_reason.empty()) {
+        return;
+    }
+    const bool is_expected = connection.close_reason == "announced";
+    log_event("http", is_expected ? log_level::debug : log_level::info, "connection-closed",
+              {{"remote", connection.remote},
+               {"reason", connection.close_reason},
+               {"requests", connection.requests}});
+}
+
 asio::awaitable<bool> http_server::state::handle(server_exchange& current)
 {
     try {
@@ -382,6 +409,7 @@
     const scoped_count counted{connections};
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay{true}, ec);
+    const auto remote = socket.remote_endpoint(ec);
     // wait_closed() peeks after a readiness event. The event may be stale, for data that has been
     // read since; on a blocking socket the peek would then block the thread until the caller closes
     // the connection.
@@ -391,10 +419,12 @@
     bool can_continue = co_await perform_handshake(stream);
     const auto connection = std::make_shared<open_connection>();
     connection->stream = &stream;
+    connection->remote = remote.address().to_string() + ":" + std::to_string(remote.port());
     const open_entry entry{*this, connection};
     while (can_continue) {
         can_continue = co_await serve_one(*connection, buf);
     }
+    log_close(*connection);
     if (stream.lower().socket().is_open()) {
         stream.lower().expires_after(limits()->write_timeout);
         co_await stream.shutdown_tls();
