Refuse requests whose body has no certain end

Cause: the parser treats a request with a transfer coding that it does not know as one without a body. Class: framing that is understood in part.

Change: any transfer coding but a single "chunked", a coding beside a Content-Length and a coding in HTTP/1.0 get 400, and the connection is closed; nothing behind them is read.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "http/body_reservation.h"
+#include "http/internal/request_framing.h"
 #include "http/internal/server_exchange.h"
 
 #include <algorithm>
@@ -326,6 +327,9 @@
     parser.body_limit(limits.max_body_bytes);
     stream.lower().expires_after(limits.header_timeout);
     auto [ec, n] = co_await http::async_read_header(stream, buf, parser, use_tuple);
+    if (!ec) {
+        ec = http_internal::check_framing(parser.get().base());
+    }
     // A request is in progress while its body arrives.
     const scoped_count counted{requests};
     const body_reservation reserved{body_bytes, limits.max_total_body_bytes,
