Reserve memory for chunked bodies before they are read, and send bodies without copies

What callers saw: when many users sent long bodies in chunks at once, the gateway exceeded its memory limit and was killed.

Cause: only 64 KiB of the budget for request bodies were reserved for a chunked body, whatever its length, so the bodies together had no limit. Each body also existed up to four times: in the exchange, in the call, in the encoded request and in the Beast message.

Change: a chunked body is read in parts. Before each part, the reservation grows to cover it, including the old buffer while the buffer grows. If the budget does not cover the part, the body is freed and the request is refused with the existing 503 "too-many-bytes" before it is passed on; the connection closes after the response. Bodies with a length are reserved as a whole before, as they were. A refused request no longer occupies the budget while its refusal is written. The gateway moves the body out of the exchange, encode() leaves it out, and the client sends it from the call. So it exists once, also with several attempts, and request_memory_share stays at a quarter.

Why it works: all bodies in progress together stay within their share of memory_mb, because no part is read before it is reserved, and nothing copies a body afterwards.

--- a/src/gateway/call_protocol.h
+++ b/src/gateway/call_protocol.h
@@ -10,6 +10,7 @@
 /// The functions are stateless.
 struct call_protocol {
     call (*decode)(http_request request) = nullptr;
+    /// Builds the request to dispatch without its body, which is sent from the call.
     http_request (*encode)(const call& request, const dispatch_metadata& metadata) = nullptr;
     reply_kind (*classify)(const call& request, const http_response& header) = nullptr;
     server_notice (*read_notice)(const http_response& header) = nullptr;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,6 +41,7 @@
 constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 constexpr std::uint64_t unannounced_body_bytes = 64 * 1024;
 /// Shares of the memory that all request bodies, and all response bodies, may take.
+/// A request body exists once: all attempts send it from the call, without copies.
 constexpr double request_memory_share = 0.25;
 constexpr double response_memory_share = 0.125;
 
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -144,8 +144,8 @@
     if (has_started_) {
         metadata.resume_after = last_event_id_;
     }
-    const auto message = context_.protocol.encode(call_, metadata);
-    auto error = co_await attempt.connection->write_request(message, io_timeout());
+    const auto head = context_.protocol.encode(call_, metadata);
+    auto error = co_await attempt.connection->write_request(head, call_.message.body, io_timeout());
     attempt.is_written = error.empty();
     co_return error;
 }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -41,7 +41,10 @@
 
 asio::awaitable<void> request_flow::run()
 {
-    call_ = context_.protocol.decode(exchange_.request());
+    auto body = exchange_.take_body();
+    auto request = exchange_.request();
+    request.body = std::move(body);
+    call_ = context_.protocol.decode(std::move(request));
     if (is_stopping(context_.stop)) {
         exchange_.close_after_response();
     }
--- a/src/gateway/tests/request_flow_test.cpp
+++ b/src/gateway/tests/request_flow_test.cpp
@@ -39,6 +39,7 @@
     explicit fake_exchange(asio::io_context& context) : io{context} {}
 
     const http_request& request() const override { return message; }
+    std::string take_body() override { return std::exchange(message.body, {}); }
     asio::awaitable<bool> reply(http_response response) override
     {
         answer = std::move(response);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -10,7 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
 #include <optional>
@@ -33,9 +33,11 @@
 constexpr int max_interim_responses = 4;
 constexpr int first_final_status = 200;
 
-http::request<http::string_body> to_beast(const http_request& request, bool is_keep_alive)
+using span_request = http::request<http::span_body<const char>>;
+
+span_request to_beast(const http_request& request, std::string_view body, bool is_keep_alive)
 {
-    http::request<http::string_body> out;
+    span_request out;
     out.version(11);
     out.method_string(request.method);
     out.target(request.target);
@@ -46,7 +48,7 @@
         out.set(http::field::host, "almondline");
     }
     out.keep_alive(is_keep_alive);
-    out.body() = request.body;
+    out.body() = {body.data(), body.size()};
     out.prepare_payload();
     return out;
 }
@@ -107,8 +109,15 @@
 asio::awaitable<std::string> http_connection::write_request(const http_request& request,
                                                             std::chrono::milliseconds timeout)
 {
-    state_->has_response_body = request.method != "HEAD";
-    const auto message = to_beast(request, state_->is_keep_alive);
+    return write_request(request, request.body, timeout);
+}
+
+asio::awaitable<std::string> http_connection::write_request(const http_request& head,
+                                                            std::string_view body,
+                                                            std::chrono::milliseconds timeout)
+{
+    state_->has_response_body = head.method != "HEAD";
+    const auto message = to_beast(head, body, state_->is_keep_alive);
     state_->stream.lower().expires_after(timeout);
     const auto [ec, n] = co_await http::async_write(state_->stream, message, use_tuple);
     co_return ec ? "write: " + ec.message() : std::string{};
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace almondline {
 
@@ -51,6 +52,10 @@
                                                 std::chrono::milliseconds timeout);
     boost::asio::awaitable<std::string> write_request(const http_request& request,
                                                       std::chrono::milliseconds timeout);
+    /// Sends this body instead of the one in head, without a copy of it. All must outlive the call.
+    boost::asio::awaitable<std::string> write_request(const http_request& head,
+                                                      std::string_view body,
+                                                      std::chrono::milliseconds timeout);
     /// Reads the response header and fills in status and headers.
     boost::asio::awaitable<std::string> read_header(http_response& response,
                                                     std::chrono::milliseconds timeout);
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -9,6 +9,7 @@
 #include <boost/system/error_code.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace almondline::http_internal {
@@ -24,6 +25,7 @@
                     bool keep_alive, const http_server_limits& limits);
 
     const http_request& request() const override { return request_; }
+    std::string take_body() override { return std::exchange(request_.body, {}); }
     boost::asio::awaitable<bool> reply(http_response response) override;
     boost::asio::awaitable<bool> start_stream(int status,
                                               std::vector<http_header> headers) override;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,9 +1,11 @@
 #include "http/server.h"
 
 #include "common/log.h"
-#include "http/body_reservation.h"
+#include "http/internal/body_budget.h"
+#include "http/internal/open_connection.h"
 #include "http/internal/request_framing.h"
 #include "http/internal/server_exchange.h"
+#include "http/internal/server_responses.h"
 
 #include <algorithm>
 #include <array>
@@ -35,7 +37,9 @@
 namespace {
 
 using http_internal::http_stream;
+using http_internal::open_connection;
 using http_internal::server_exchange;
+using http_internal::string_parser;
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds accept_retry_delay{50};
@@ -79,47 +83,6 @@
     std::atomic<std::size_t>& count_;
 };
 
-/// Bytes to reserve for a body: its Content-Length, or unannounced_body_bytes if it is chunked, and
-/// at most max_body_bytes.
-std::uint64_t expected_body(const http::request_parser<http::string_body>& parser,
-                            const http_server_limits& limits)
-{
-    if (parser.chunked()) {
-        return std::min(limits.unannounced_body_bytes, limits.max_body_bytes);
-    }
-    const auto length = parser.content_length();
-    return length ? std::min<std::uint64_t>(*length, limits.max_body_bytes) : 0;
-}
-
-http_response body_budget_exceeded_response()
-{
-    auto response = json_response(
-        503, R"({"error":{"code":"too-many-bytes","message":"too many request bodies in progress",)"
-             R"("verdict":"not-run","retry_after_ms":1000}})");
-    response.headers.push_back({"X-Verdict", "not-run"});
-    response.headers.push_back({"Retry-After", "1"});
-    return response;
-}
-
-http_response stopping_response()
-{
-    auto response =
-        json_response(503, R"({"error":{"code":"stopping","message":"this instance is stopping",)"
-                           R"("verdict":"not-run","retry_after_ms":1}})");
-    response.headers.push_back({"X-Verdict", "not-run"});
-    response.headers.push_back({"Retry-After", "0.001"});
-    return response;
-}
-
-http_response internal_error_response()
-{
-    auto response = json_response(
-        500, R"({"error":{"code":"internal-error","message":"the request could not be handled",)"
-             R"("verdict":"may-have-run"}})");
-    response.headers.push_back({"X-Verdict", "may-have-run"});
-    return response;
-}
-
 bool is_connection_end(const boost::system::error_code& ec)
 {
     return ec == http::error::end_of_stream || ec == asio::error::connection_reset ||
@@ -129,19 +92,6 @@
 
 } // namespace
 
-/// A connection, for changes of the limits. Used on the connection's strand.
-struct open_connection {
-    http_stream* stream = nullptr;
-    std::string remote;                      ///< address and port of the caller
-    bool is_idle = false;                    ///< waits for the first bytes of a request
-    std::chrono::milliseconds idle_limit{0}; ///< of this wait
-    bool is_extended = false;                ///< the wait was ended to apply a longer limit
-    bool is_reading_body = false;
-    bool is_refused = false;       ///< the rest of the body is not awaited any more
-    std::size_t requests = 0;      ///< that were answered or cut
-    std::string_view close_reason; ///< why the server closes it; empty if the caller did
-};
-
 struct http_server::state {
     state(asio::io_context& context, http_server_limits server_limits, http_handler request_handler,
           std::shared_ptr<tls_credentials> credentials)
@@ -163,6 +113,11 @@
     asio::awaitable<bool> perform_handshake(http_stream& stream);
     asio::awaitable<bool> wait_for_request(open_connection& connection, beast::flat_buffer& buf);
     asio::awaitable<bool> serve_one(open_connection& connection, beast::flat_buffer& buf);
+    /// Reads a body in parts. Returns no_memory, and frees the body, if the budget does not cover
+    /// it.
+    asio::awaitable<boost::system::error_code>
+    read_body(open_connection& connection, beast::flat_buffer& buf, string_parser& parser,
+              body_reservation& reserved, const http_server_limits& limits);
     /// Calls the action for each open connection, on the connection's strand. A connection whose
     /// flags are not set may have ended.
     void for_each_open(const std::function<void(open_connection&)>& action);
@@ -310,6 +265,36 @@
     });
 }
 
+asio::awaitable<boost::system::error_code>
+http_server::state::read_body(open_connection& connection, beast::flat_buffer& buf,
+                              string_parser& parser, body_reservation& reserved,
+                              const http_server_limits& limits)
+{
+    auto& body = parser.get().body();
+    boost::system::error_code ec;
+    std::size_t n = 0;
+    connection.stream->lower().expires_after(limits.read_timeout);
+    connection.is_reading_body = true;
+    while (!ec && !parser.is_done()) {
+        // Bodies with a length are reserved as a whole before.
+        if (parser.chunked() &&
+            !http_internal::reserve_next_part(body, buf.size(), reserved, limits)) {
+            std::string{}.swap(body);
+            reserved.resize(0);
+            ec = asio::error::no_memory;
+        }
+        else if (connection.is_refused) {
+            ec = asio::error::operation_aborted;
+        }
+        else {
+            std::tie(ec, n) =
+                co_await http::async_read_some(*connection.stream, buf, parser, use_tuple);
+        }
+    }
+    connection.is_reading_body = false;
+    co_return ec;
+}
+
 asio::awaitable<bool> http_server::state::serve_one(open_connection& connection,
                                                     beast::flat_buffer& buf)
 {
@@ -322,7 +307,7 @@
     // Not before the wait, during which they may change.
     const auto current_limits = this->limits();
     const auto& limits = *current_limits;
-    http::request_parser<http::string_body> parser;
+    string_parser parser;
     parser.header_limit(limits.max_header_bytes);
     parser.body_limit(limits.max_body_bytes);
     stream.lower().expires_after(limits.header_timeout);
@@ -332,23 +317,24 @@
     }
     // A request is in progress while its body arrives.
     const scoped_count counted{requests};
-    const body_reservation reserved{body_bytes, limits.max_total_body_bytes,
-                                    ec ? 0 : expected_body(parser, limits)};
-    if (!reserved.is_granted()) {
+    body_reservation reserved{body_bytes, limits.max_total_body_bytes,
+                              ec ? 0 : http_internal::expected_body(parser, limits)};
+    if (!ec && !reserved.is_granted()) {
+        reserved.resize(0); // the body is not read
+        ec = asio::error::no_memory;
+    }
+    else if (!ec) {
+        ec = co_await read_body(connection, buf, parser, reserved, limits);
+    }
+    if (ec == asio::error::no_memory) {
         server_exchange refused{stream, buf, {}, false, limits};
-        co_await refused.reply(body_budget_exceeded_response());
+        co_await refused.reply(http_internal::body_budget_exceeded_response());
         connection.close_reason = "body-budget";
         co_return false;
     }
-    if (!ec) {
-        stream.lower().expires_after(limits.read_timeout);
-        connection.is_reading_body = true;
-        std::tie(ec, n) = co_await http::async_read(stream, buf, parser, use_tuple);
-        connection.is_reading_body = false;
-    }
     if (ec && connection.is_refused) {
         server_exchange refused{stream, buf, {}, false, limits};
-        co_await refused.reply(stopping_response());
+        co_await refused.reply(http_internal::stopping_response());
         connection.close_reason = "stopping";
         co_return false;
     }
@@ -374,7 +360,7 @@
     const bool is_handled = co_await handle(current);
     if (!is_handled && !current.is_answered()) {
         current.close_after_response();
-        co_await current.reply(internal_error_response());
+        co_await current.reply(http_internal::internal_error_response());
     }
     else if (!is_handled || !current.is_answered()) {
         current.abort();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -21,7 +21,8 @@
     /// Bodies of all requests in progress together. Without this limit, many callers that each stay
     /// within max_body_bytes could exhaust the memory.
     std::uint64_t max_total_body_bytes = 256 * 1024 * 1024;
-    /// Bytes of the total that are reserved for a body without a Content-Length.
+    /// Bytes of the total that are reserved for a body without a Content-Length before it is read.
+    /// The reservation grows with the body.
     std::uint64_t unannounced_body_bytes = 8 * 1024 * 1024;
     std::chrono::milliseconds header_timeout{30'000}; ///< for a header, from its first byte
     std::chrono::milliseconds read_timeout{30'000};   ///< for the body of one request
@@ -38,6 +39,8 @@
 public:
     virtual ~http_exchange() = default;
     virtual const http_request& request() const = 0;
+    /// Moves the body out of request(), to avoid a copy of a long one.
+    virtual std::string take_body() = 0;
     /// Sends the whole response. Exactly one of reply and start_stream may be called, once.
     virtual boost::asio::awaitable<bool> reply(http_response response) = 0;
     /// Sends the header of a chunked response.
--- a/src/standins/internal/faulty_exchange.h
+++ b/src/standins/internal/faulty_exchange.h
@@ -13,6 +13,7 @@
                     std::uint64_t number);
 
     const http_request& request() const override { return inner_.request(); }
+    std::string take_body() override { return inner_.take_body(); }
     boost::asio::awaitable<bool> reply(http_response response) override;
     boost::asio::awaitable<bool> start_stream(int status,
                                               std::vector<http_header> headers) override;
