--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -267,10 +267,10 @@
     return out;
 }
 
-const server_attempt* request_flow::decisive_attempt() const
+server_attempt* request_flow::decisive_attempt()
 {
-    const server_attempt* out = nullptr;
-    for (const auto& it : attempts_) {
+    server_attempt* out = nullptr;
+    for (auto& it : attempts_) {
         if (it.is_superseded) {
             continue;
         }
@@ -293,14 +293,14 @@
     return attempt.result == attempt_end::completed;
 }
 
-const server_attempt* request_flow::final_attempt() const
+server_attempt* request_flow::final_attempt()
 {
-    const auto* last = decisive_attempt();
+    auto* last = decisive_attempt();
     const bool has_response = last != nullptr && has_response_of_server(*last);
     return has_response || has_started_ || answered_.empty() ? last : &answered_.back();
 }
 
-bool request_flow::is_completed() const
+bool request_flow::is_completed()
 {
     const auto* last = final_attempt();
     return last != nullptr && last->result == attempt_end::completed;
@@ -414,12 +414,12 @@
 
 asio::awaitable<void> request_flow::answer()
 {
-    const auto* last = final_attempt();
+    auto* last = final_attempt();
     if (last != nullptr && has_response_of_server(*last)) {
         const int status = last->response.status;
         log_end(status, to_string(*last->result));
         http_response response{status, forwarded_headers(last->response.headers),
-                               last->response.body};
+                               std::move(last->response.body)};
         co_await exchange_.reply(std::move(response));
         co_return;
     }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -127,13 +127,13 @@
     bool plan_next();
     attempt_facts facts(const server_attempt* attempt) const;
     /// Returns the attempt that decides the next step of the round; null if there is none.
-    const server_attempt* decisive_attempt() const;
+    server_attempt* decisive_attempt();
     /// Returns the attempt whose response the caller gets, or whose failure; null if there is none.
-    const server_attempt* final_attempt() const;
+    server_attempt* final_attempt();
     /// Returns whether the caller can get the server's own response. Some statuses promise that the
     /// request has not run, but a request that ended with a failure did.
     static bool has_response_of_server(const server_attempt& attempt);
-    bool is_completed() const;
+    bool is_completed();
     void stop(stop_cause cause);
     static std::string_view describe(stop_cause cause);
     bool has_server_timed_out(const server_attempt& attempt) const;
