Log each pull of a manifest, refused transfers and the time of a check

An operator can't tell a text that is slow on the link from one that is received and dropped, nor from one that is parsed slowly: pull-abandoned was logged at debug level, a request beyond max_transfers was dropped without a line, and nothing said how long the check of a text blocks the control thread.

pull-finished, pull-abandoned, transfer-refused and manifest-checked are logged at info level with their durations, and counted; bytes that no pull waits for are counted too.

--- a/src/distribution/internal/body_transfer.cpp
+++ b/src/distribution/internal/body_transfer.cpp
@@ -29,6 +29,12 @@
     return is_complete ? chunk_result::complete : chunk_result::incomplete;
 }
 
+std::size_t received_chunks(const incoming_body& body)
+{
+    return static_cast<std::size_t>(std::count_if(body.chunks.begin(), body.chunks.end(),
+                                                  [](const auto& it) { return it.has_value(); }));
+}
+
 manifest_copy join_chunks(const incoming_body& body)
 {
     manifest_copy copy{body.version, body.digest, {}};
--- a/src/distribution/internal/body_transfer.h
+++ b/src/distribution/internal/body_transfer.h
@@ -26,6 +26,7 @@
     std::string digest;
     std::vector<std::optional<std::string>> chunks;
     steady_time last_progress;
+    steady_time started;
 };
 
 enum class chunk_result { incomplete, complete, invalid };
@@ -33,6 +34,7 @@
 /// Adds a chunk. Returns invalid for a malformed chunk and for one that is inconsistent with the
 /// chunks received before.
 chunk_result add_chunk(incoming_body& body, const body_chunk& chunk, steady_time now);
+std::size_t received_chunks(const incoming_body& body);
 /// Joins the chunks of a complete body. Does not verify the digest.
 manifest_copy join_chunks(const incoming_body& body);
 
--- a/src/distribution/manifest_distributor.cpp
+++ b/src/distribution/manifest_distributor.cpp
@@ -15,6 +15,11 @@
 constexpr std::size_t max_candidates = 64;
 constexpr std::size_t max_avoided = 64;
 
+std::int64_t milliseconds_since(steady_time start, steady_time now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - start).count();
+}
+
 } // namespace
 
 manifest_distributor::manifest_distributor(distribution_config config,
@@ -169,7 +174,7 @@
         return;
     }
     const auto& peer = holders[random_() % holders.size()];
-    pull_ = incoming_body{peer, highest, 0, {}, {}, now};
+    pull_ = incoming_body{peer, highest, 0, {}, {}, now, now};
     ++counters_.requests_sent;
     callbacks_.send(peer, body_request{highest});
 }
@@ -177,8 +182,12 @@
 void manifest_distributor::abandon_pull(const std::string& cause)
 {
     ++counters_.pulls_abandoned;
-    log_event("distribution", log_level::debug, "pull-abandoned",
-              {{"peer", pull_->peer}, {"version", pull_->wanted}, {"cause", cause}});
+    log_event("distribution", log_level::info, "pull-abandoned",
+              {{"peer", pull_->peer},
+               {"version", pull_->wanted},
+               {"cause", cause},
+               {"received_chunks", received_chunks(*pull_)},
+               {"duration_ms", milliseconds_since(pull_->started, clock_.now())}});
     candidates_.erase(pull_->peer); // its next probe makes it a candidate again
     pull_.reset();
 }
@@ -192,14 +201,19 @@
     std::erase_if(transfers_, [&](const auto& t) { return t.peer == from; });
     if (transfers_.size() < config_.max_transfers) {
         transfers_.push_back({from, held_, 0});
+        return;
     }
+    ++counters_.transfers_refused;
+    log_event("distribution", log_level::info, "transfer-refused",
+              {{"peer", from}, {"version", request.version}, {"transfers", transfers_.size()}});
 }
 
 void manifest_distributor::on_chunk(const std::string& from, const body_chunk& chunk,
                                     steady_time now)
 {
     if (!pull_ || pull_->peer != from) {
-        return; // the chunk belongs to an abandoned pull
+        counters_.bytes_unwanted += chunk.data.size(); // of an abandoned pull
+        return;
     }
     const auto result = add_chunk(*pull_, chunk, now);
     if (result == chunk_result::incomplete) {
@@ -226,6 +240,12 @@
                                        steady_time now)
 {
     const auto offered = candidates_.find(from);
+    ++counters_.pulls_finished;
+    log_event("distribution", log_level::info, "pull-finished",
+              {{"peer", from},
+               {"version", copy.version},
+               {"bytes", copy.text.size()},
+               {"duration_ms", milliseconds_since(pull_->started, now)}});
     const bool has_other_digest = offered != candidates_.end() && !offered->second.digest.empty() &&
                                   offered->second.version == copy.version &&
                                   offered->second.digest != copy.digest;
@@ -246,7 +266,14 @@
     if (copy.version <= version()) {
         return false;
     }
-    if (!callbacks_.apply(copy, source)) {
+    const auto started = clock_.now();
+    const bool is_applied = callbacks_.apply(copy, source);
+    log_event("distribution", log_level::info, "manifest-checked",
+              {{"version", copy.version},
+               {"source", source},
+               {"applied", is_applied},
+               {"duration_ms", milliseconds_since(started, clock_.now())}});
+    if (!is_applied) {
         log_event("distribution", log_level::error, "manifest-refused",
                   {{"version", copy.version}, {"source", source}});
         refused_ = {copy.version, copy.digest};
--- a/src/distribution/manifest_distributor.h
+++ b/src/distribution/manifest_distributor.h
@@ -43,8 +43,12 @@
     std::uint64_t requests_sent = 0;
     std::uint64_t chunks_sent = 0;
     std::uint64_t bytes_sent = 0; ///< body data only
+    std::uint64_t bytes_unwanted =
+        0; ///< body data received without a pull in progress from the sender
     std::uint64_t bad_bodies = 0;
+    std::uint64_t pulls_finished = 0;
     std::uint64_t pulls_abandoned = 0;
+    std::uint64_t transfers_refused = 0; ///< requests dropped at max_transfers
 };
 
 /// Functions of the instance that the distributor calls. All run on the control thread.
--- a/src/fleet/node_metrics.cpp
+++ b/src/fleet/node_metrics.cpp
@@ -22,6 +22,23 @@
     metrics.set("almondline_store_restores_total", {}, static_cast<double>(calls.restores));
 }
 
+void report_distribution(metrics_registry& metrics,
+                         const distribution::distribution_counters& counters)
+{
+    const auto set = [&](std::string_view outcome, std::uint64_t n) {
+        metrics.set("almondline_manifest_pulls_total", {{"outcome", outcome}},
+                    static_cast<double>(n));
+    };
+    set("finished", counters.pulls_finished);
+    set("abandoned", counters.pulls_abandoned);
+    metrics.set("almondline_manifest_transfers_refused_total", {},
+                static_cast<double>(counters.transfers_refused));
+    metrics.set("almondline_manifest_bytes_sent_total", {},
+                static_cast<double>(counters.bytes_sent));
+    metrics.set("almondline_manifest_bytes_unwanted_total", {},
+                static_cast<double>(counters.bytes_unwanted));
+}
+
 void report_traffic(metrics_registry& metrics, const peer::peer_counters& traffic)
 {
     std::uint64_t sent = 0;
@@ -52,6 +69,7 @@
     set("almondline_backend_rates_advertised_total",
         static_cast<double>(instance.credit_client.counters().advertised_rates));
     report_calls(metrics, calls);
+    report_distribution(metrics, instance.manifests.counters());
     report_traffic(metrics, instance.transport.counters());
 }
 
