Write probes and credits before parts of manifests

Parts of manifests have a queue of their own, which is written when the other one is empty and from which frames are dropped first.

--- a/src/peer/internal/connection.cpp
+++ b/src/peer/internal/connection.cpp
@@ -181,13 +181,14 @@
 {
     bool is_written = co_await write_frame(std::move(greeting_));
     while (is_written && is_open_) {
-        if (!is_established_ || queue_.empty()) {
+        if (!is_established_ || queued_frames() == 0) {
             writer_wakeup_.expires_at(asio::steady_timer::time_point::max());
             co_await writer_wakeup_.async_wait(use_tuple);
             continue;
         }
-        auto frame = std::move(queue_.front());
-        queue_.pop_front();
+        auto& queue = next_queue();
+        auto frame = std::move(queue.front());
+        queue.pop_front();
         queued_bytes_ -= frame.bytes.size();
         is_written = co_await write_frame(std::move(frame));
     }
@@ -221,14 +222,26 @@
     co_return true;
 }
 
+std::deque<queued_frame>& connection::queue_of(envelope_kind kind)
+{
+    return kind == envelope_kind::body ? bulk_queue_ : queue_;
+}
+
+std::deque<queued_frame>& connection::next_queue()
+{
+    return queue_.empty() ? bulk_queue_ : queue_;
+}
+
 void connection::enqueue(queued_frame frame)
 {
     queued_bytes_ += frame.bytes.size();
-    queue_.push_back(std::move(frame));
-    while (queue_.size() > settings_.max_queued_messages ||
-           (queued_bytes_ > settings_.max_queued_bytes && queue_.size() > 1)) {
-        queued_bytes_ -= queue_.front().bytes.size();
-        queue_.pop_front();
+    auto& queue = queue_of(frame.kind);
+    queue.push_back(std::move(frame));
+    while (queued_frames() > settings_.max_queued_messages ||
+           (queued_bytes_ > settings_.max_queued_bytes && queued_frames() > 1)) {
+        auto& dropped = bulk_queue_.empty() ? queue_ : bulk_queue_;
+        queued_bytes_ -= dropped.front().bytes.size();
+        dropped.pop_front();
         if (owner_ != nullptr) {
             ++owner_->counters().dropped_queue_full;
         }
@@ -268,7 +281,11 @@
 std::deque<queued_frame> connection::remove_unsent()
 {
     queued_bytes_ = 0;
-    return std::exchange(queue_, {});
+    auto unsent = std::exchange(queue_, {});
+    for (auto& it : std::exchange(bulk_queue_, {})) {
+        unsent.push_back(std::move(it));
+    }
+    return unsent;
 }
 
 std::string_view connection::timeout_reason(steady_time now) const
@@ -297,7 +314,7 @@
 void connection::send_keepalive_if_due(steady_time now)
 {
     if (!is_established_ || !reply_due_since_ ||
-        now - *reply_due_since_ < settings_.keepalive_delay || !queue_.empty()) {
+        now - *reply_due_since_ < settings_.keepalive_delay || queued_frames() > 0) {
         return;
     }
     reply_due_since_.reset();
--- a/src/peer/internal/connection.h
+++ b/src/peer/internal/connection.h
@@ -51,7 +51,9 @@
     void accept(queued_frame greeting);
     /// Connects to the address, then does the same.
     void connect(const boost::asio::ip::tcp::endpoint& address, queued_frame greeting);
-    /// Queues a frame. If the queue is full, its oldest frames are dropped and counted.
+    /// Queues a frame. Parts of manifests are written after all other frames, so that probes and
+    /// credits don't wait behind them. If the queue is full, the oldest parts are dropped and
+    /// counted, then the oldest other frames.
     void enqueue(queued_frame frame);
     /// Starts to write queued frames. Called when the peer's greeting has been checked.
     void establish(std::string peer_id, std::int64_t incarnation);
@@ -106,8 +108,13 @@
     connection_owner* owner_;
     // A member because GCC 12 corrupted it when it was a parameter of run_accepted's coroutine.
     queued_frame greeting_;
+    std::deque<queued_frame>& queue_of(envelope_kind kind);
+    std::deque<queued_frame>& next_queue();
+    std::size_t queued_frames() const { return queue_.size() + bulk_queue_.size(); }
+
     std::deque<queued_frame> queue_;
-    std::size_t queued_bytes_ = 0;
+    std::deque<queued_frame> bulk_queue_; ///< parts of manifests
+    std::size_t queued_bytes_ = 0;        ///< in both queues
     std::string received_;
     std::size_t consumed_bytes_ = 0; ///< at the start of received_
     std::string remote_address_;
--- a/src/peer/tests/transport_test.cpp
+++ b/src/peer/tests/transport_test.cpp
@@ -324,6 +324,25 @@
     CHECK(a->counters().dropped_queue_full == 2);
 }
 
+TEST_CASE_FIXTURE(fixture, "probes and credits are not delayed or dropped by parts of manifests")
+{
+    const auto a = make("a");
+    const auto b = make("b");
+    wire::manifest_body chunk;
+    chunk.data.assign(1'000, 'x');
+    wire::envelope body;
+    body.__set_body(chunk);
+    for (int n = 1; n <= 3; ++n) {
+        a->send("b", body);
+    }
+    a->send("b", make_cancel("r1"));
+    a->send("b", make_cancel("r2"));
+    REQUIRE(run_until([&] { return received.size() == 4; }));
+    CHECK(received[0].request_id == "r1");
+    CHECK(received[1].request_id == "r2");
+    CHECK(a->counters().dropped_queue_full == 1);
+}
+
 TEST_CASE_FIXTURE(fixture, "connections above the limit are refused")
 {
     const auto a = make("a", 1, 2);
