Reserve memory for events and comments that a stream has not ended

Other operators report servers that send bytes without end until the machine that called them has no memory left.

The first 8 KiB of each response need no reservation: other requests and streams beside them are answered whole. Memory of a large event is freed once it was forwarded. The stand-in's listen queue takes 128 connections; with 5, the streams did not all begin.

--- a/src/backend/event_splitter.cpp
+++ b/src/backend/event_splitter.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Memory that is kept between two events, in bytes.
+constexpr std::size_t max_kept_capacity = 8 * 1024;
+
 /// Returns the end of the first complete event, after its closing empty line, or npos if there is
 /// none.
 std::size_t end_of_event(std::string_view text)
@@ -98,6 +101,9 @@
         remaining.remove_prefix(end);
     }
     rest_.erase(0, rest_.size() - remaining.size());
+    if (rest_.empty() && rest_.capacity() > max_kept_capacity) {
+        rest_ = {};
+    }
     return rest_.size() <= max_event_size;
 }
 
--- a/src/backend/event_splitter.h
+++ b/src/backend/event_splitter.h
@@ -28,6 +28,10 @@
     /// event that was already forwarded. If it ends there, it is not the same stream.
     bool is_behind() const { return last_dropped_ != 0 && last_dropped_ < resumed_after_; }
 
+    /// Frees the memory of the incomplete event, which is lost.
+    void drop_incomplete() { rest_ = {}; }
+    /// Returns the memory that the incomplete event takes, in bytes.
+    std::size_t held_bytes() const { return rest_.capacity(); }
     /// Returns whether the bytes received so far end with a complete event.
     bool is_at_boundary() const { return rest_.empty(); }
     std::uint64_t last_id() const { return last_id_; }
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+constexpr const char* memory_used_up = "the memory for response bodies is used up";
+
 std::int64_t to_integer(double amount)
 {
     return static_cast<std::int64_t>(amount);
@@ -48,6 +50,8 @@
 {
     attempt.connection.reset();
     attempt.response.body = {};
+    attempt.unforwarded = {};
+    attempt.events.drop_incomplete();
     attempt.response_memory.resize(0);
 }
 
@@ -60,6 +64,13 @@
     }
 }
 
+/// Reserves memory for what is held of a response. Returns false if there is not enough.
+bool request_flow::reserve_memory(server_attempt& attempt, std::size_t held_bytes) const
+{
+    const auto unreserved = std::min(held_bytes, context_.limits.unreserved_response_bytes);
+    return attempt.response_memory.resize(held_bytes - unreserved);
+}
+
 asio::awaitable<void> request_flow::run_on_server(server_attempt& attempt)
 {
     const auto size = call_.size.value_or(call_size{});
@@ -266,8 +277,8 @@
         if (error.empty() && body.size() > context_.limits.max_response_body) {
             error = "the response body exceeds the size limit";
         }
-        if (error.empty() && !attempt.response_memory.resize(body.size())) {
-            error = "the memory for response bodies is used up";
+        if (error.empty() && !reserve_memory(attempt, body.size())) {
+            error = memory_used_up;
         }
         if (!error.empty() || attempt.is_superseded) {
             break_off(attempt, std::move(error));
@@ -376,6 +387,10 @@
     if (error.empty() && (!is_in_limit || attempt.unforwarded.size() > backend::max_event_size)) {
         error = "an event exceeds the size limit";
     }
+    if (error.empty() &&
+        !reserve_memory(attempt, attempt.events.held_bytes() + attempt.unforwarded.capacity())) {
+        error = memory_used_up;
+    }
     if (!error.empty()) {
         break_off(attempt, std::move(error));
         co_return false;
@@ -425,6 +440,9 @@
         is_written = co_await exchange_.write_chunk(attempt.unforwarded);
     }
     attempt.unforwarded.clear();
+    if (attempt.unforwarded.capacity() > context_.limits.unreserved_response_bytes) {
+        attempt.unforwarded.shrink_to_fit();
+    }
     attempt.is_forwarding = false;
     if (!is_written) {
         stopped_ = stop_cause::caller_left;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -78,6 +78,7 @@
     boost::asio::awaitable<void> add_server();
     /// Returns nothing if all attempts ended meanwhile.
     boost::asio::awaitable<std::optional<granting::credit>> reserve_when_silent();
+    bool reserve_memory(server_attempt& attempt, std::size_t held_bytes) const;
     /// Fills in a confirmed credit, or nothing if there is none or the silence is over.
     boost::asio::awaitable<void> reserve_server(std::optional<granting::credit>& reserved);
     /// Returns when an attempt has ended or delivered, or after the pause.
--- a/src/gateway/types/flow_limits.h
+++ b/src/gateway/types/flow_limits.h
@@ -29,6 +29,9 @@
     /// read the whole body.
     std::size_t max_body_sent_before_reading = 8 * 1024;
     std::size_t max_response_body = 8 * 1024 * 1024;
+    /// Part of a response that needs no reservation in the memory for response bodies, so that
+    /// usual responses and events are delivered while large ones use it up.
+    std::size_t unreserved_response_bytes = 8 * 1024;
     /// Share of the memory for response bodies up to which an attempt beside others may take more,
     /// so that it never takes the memory that the only response to another request needs.
     double hedge_memory_share = 0.5;
--- a/tests/platform_standins/replica.py
+++ b/tests/platform_standins/replica.py
@@ -136,11 +136,15 @@
     do_GET = do_POST = handle_call
 
 
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128  # connections that may arrive at the same time
+
+
 def serve(replica, port):
     """Serves the replica on loopback until the process ends."""
     handler = type("ReplicaHandler", (Handler,), {"replica": replica})
-    server = ThreadingHTTPServer(("127.0.0.1", port), handler)
-    server.daemon_threads = True
+    server = Server(("127.0.0.1", port), handler)
     replica.server = server
     server.handle_error = lambda *_: None  # tests abort connections on purpose
     threading.Thread(target=server.serve_forever, args=(POLL_INTERVAL,), daemon=True).start()
