Guard the order of checks, steps and transfers of a manifest by tests

Found by them: a context without other work ended before it had the continuation of background work, so the worker holds a guard.

--- a/src/distribution/internal/text_history.cpp
+++ b/src/distribution/internal/text_history.cpp
@@ -27,6 +27,10 @@
     if (!steps.empty() && steps.back().digest != step.base_digest) {
         steps.clear();
     }
+    if (step.patch.empty()) {
+        steps.clear();
+        return;
+    }
     steps.push_back(std::move(step));
     while (!steps.empty() && (steps.size() > max_steps || total_bytes(steps) > max_step_bytes)) {
         steps.pop_front();
@@ -69,8 +73,8 @@
 
 const text_step* short_step(const text_history& history)
 {
-    const bool is_short = leads_to_latest(history) && !history.steps.back().patch.empty() &&
-                          history.steps.back().patch.size() <= max_announced_patch_bytes;
+    const bool is_short =
+        leads_to_latest(history) && history.steps.back().patch.size() <= max_announced_patch_bytes;
     return is_short ? &history.steps.back() : nullptr;
 }
 
@@ -92,6 +96,10 @@
     if (!history.whole) {
         body.base_digest = std::string{};
         body.data = make_patch({}, latest.text);
+        if (body.data.empty()) {
+            body.base_digest.reset();
+            body.data = latest.text;
+        }
         history.whole = std::make_shared<const encoded_body>(std::move(body));
     }
     return history.whole;
--- a/src/distribution/tests/distribution_test.cpp
+++ b/src/distribution/tests/distribution_test.cpp
@@ -258,6 +258,79 @@
     CHECK(received == text);
 }
 
+TEST_CASE("a text is passed on before it is checked, and a check skips versions that were replaced")
+{
+    manual_clock clock;
+    fake_key_value_store store{clock};
+    std::vector<std::int64_t> announced;
+    std::vector<std::int64_t> checked;
+    std::vector<std::function<void(bool)>> checks;
+    std::vector<membership::member> members(3);
+    members[0].id = "a";
+    members[1].id = "b";
+    members[2].id = "c";
+    distribution_callbacks callbacks;
+    callbacks.send = [&](const std::string&, const message& m) {
+        if (const auto* it = std::get_if<announcement>(&m)) {
+            announced.push_back(it->version);
+        }
+    };
+    callbacks.live_members = [&] { return members; };
+    callbacks.read_body = [](const get_result&, const auto&) {};
+    callbacks.apply = [&](const auto& copy, const std::string&, const auto& done) {
+        checked.push_back(copy->version);
+        checks.push_back(done);
+    };
+    manifest_distributor distributor{{"a", {}, {}}, callbacks, store, clock, 1};
+    distributor.tick(clock.now());
+    for (std::int64_t version = 1; version <= 4; ++version) {
+        const auto text = random_text(1'000, static_cast<std::uint64_t>(version));
+        const auto now = clock.now();
+        distributor.receive("b", announcement{version, sha256_hex(text)}, now);
+        distributor.receive("b", body_chunk{version, sha256_hex(text), 0, 1, text}, now);
+        CHECK(announced.back() == version);
+        CHECK(distributor.version() == 0);
+    }
+    CHECK(checked == std::vector<std::int64_t>{1});
+    checks[0](true);
+    CHECK(distributor.version() == 1);
+    CHECK(checked == std::vector<std::int64_t>{1, 4});
+    checks[1](true);
+    CHECK(distributor.version() == 4);
+    CHECK(checks.size() == 2);
+}
+
+TEST_CASE("a version that arrives while an invalid one is checked is put in force")
+{
+    manual_clock clock;
+    fake_key_value_store store{clock};
+    std::vector<std::function<void(bool)>> checks;
+    distribution_callbacks callbacks;
+    callbacks.send = [](const std::string&, const message&) {};
+    callbacks.live_members = [] { return std::vector<membership::member>{}; };
+    callbacks.read_body = [](const get_result&, const auto&) {};
+    callbacks.apply = [&](const auto&, const std::string&, const auto& done) {
+        checks.push_back(done);
+    };
+    manifest_distributor distributor{{"a", {}, {}}, callbacks, store, clock, 1};
+    const std::string texts[] = {"first", "invalid", "third"};
+    const auto receive = [&](std::int64_t version) {
+        const auto& text = texts[version - 1];
+        distributor.receive("b", announcement{version, sha256_hex(text)}, clock.now());
+        distributor.receive("b", body_chunk{version, sha256_hex(text), 0, 1, text}, clock.now());
+    };
+    receive(1);
+    checks[0](true);
+    receive(2);
+    receive(3);
+    REQUIRE(checks.size() == 2);
+    checks[1](false);
+    CHECK(distributor.version() == 1);
+    REQUIRE(checks.size() == 3);
+    checks[2](true);
+    CHECK(distributor.version() == 3);
+}
+
 TEST_CASE("a member that holds the text before the invalid one receives the next version")
 {
     distribution_fleet f{12, 2, 0.2, 23};
--- a/src/fleet/background_worker.cpp
+++ b/src/fleet/background_worker.cpp
@@ -1,5 +1,6 @@
 #include "fleet/background_worker.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -15,7 +16,9 @@
 
 void background_worker::run(std::function<void()> work, std::function<void()> done)
 {
-    asio::post(pool_, [this, work = std::move(work), done = std::move(done)]() mutable {
+    // The guard keeps the context running until it has the continuation.
+    asio::post(pool_, [this, work = std::move(work), done = std::move(done),
+                       guard = asio::make_work_guard(control_)]() mutable {
         work();
         asio::post(control_, std::move(done));
     });
--- a/tests/platform/troubled_server_test.py
+++ b/tests/platform/troubled_server_test.py
@@ -81,6 +81,15 @@
         head = self.HEAD + b"Transfer-Encoding: chunked\r\n\r\n5;"
         self.check_no_success(self.flood(head, b"a" * 4096))
 
+    def test_trailers_without_end(self):
+        head = self.HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+        self.check_no_success(self.flood(head, b"X-More: aaaaaaaaaaaaaaaaaaaaaaaa\r\n"))
+
+    def test_body_of_another_response_without_end(self):
+        head = (b"HTTP/1.1 200 OK\r\nAlmondline-Attempt-Id: not-%s\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n")
+        self.check_no_success(self.flood(head, b"10000\r\n" + b"a" * 65536 + b"\r\n"))
+
     def test_event_without_end(self):
         head = (self.HEAD + b"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
                 b"id: 1\ndata: ")
