Derive or join the flags of a server attempt

Cause: server_attempt had ten flags, most of which exclude each other, so that a reader could not see which combinations occur. Change: stage (running, ended, released), sent (none, begun, complete) and delivered (none, latest, superseded) replace seven flags. is_start_reported is gone: a report clears is_start_awaited of the credit, which nobody else reads. is_forwarding, is_server_leaving and has_server_crashed stay, because they are independent of each other.

--- a/src/gateway/hedged_attempts.cpp
+++ b/src/gateway/hedged_attempts.cpp
@@ -39,7 +39,6 @@
         co_await run_attempt(first);
         co_return;
     }
-    first.is_running = true;
     const error_handler on_error = [this](const std::string& reason) {
         log_error("hedge-failed", reason);
     };
@@ -48,14 +47,13 @@
 
 asio::awaitable<void> request_flow::run_attempt(server_attempt& attempt)
 {
-    attempt.is_running = true;
     const error_handler on_error = [&](const std::string& reason) {
         fail_attempt(attempt, reason);
     };
     co_await run_guarded(run_on_server(attempt), on_error);
     auto state = co_await asio::this_coro::cancellation_state;
     if (state.cancelled() == asio::cancellation_type::none) {
-        attempt.is_running = false;
+        attempt.stage = attempt_stage::ended;
         attempts_timer_->cancel();
         co_await run_guarded(check_crash(attempt), on_error);
         state = co_await asio::this_coro::cancellation_state;
@@ -64,7 +62,7 @@
         co_return; // stop() ends the attempt
     }
     excluded_.push_back(attempt.credit.backend_id);
-    if (attempt.is_superseded) {
+    if (is_superseded(attempt)) {
         drop_response(attempt);
     }
     end_attempt(attempt);
@@ -81,7 +79,7 @@
 void request_flow::fail_attempt(server_attempt& attempt, const std::string& reason)
 {
     log_error("attempt-failed", reason);
-    may_have_run_ = may_have_run_ || attempt.is_sent;
+    may_have_run_ = may_have_run_ || is_sent(attempt);
     break_off(attempt, reason);
     if (attempt.is_forwarding) {
         // How much of the part reached the caller is not known, so the stream can't be resumed.
@@ -99,7 +97,7 @@
     std::string cause;
     const auto now = context_.clock.now();
     for (const auto& it : attempts_) {
-        if (it.is_running) {
+        if (is_running(it)) {
             silent += (silent.empty() ? "" : ",") + it.credit.backend_id;
             cause = describe_silence(it, now);
         }
@@ -173,26 +171,26 @@
 bool request_flow::is_any_running() const
 {
     return std::any_of(attempts_.begin(), attempts_.end(),
-                       [](const auto& it) { return it.is_running; });
+                       [](const auto& it) { return is_running(it); });
 }
 
 bool request_flow::is_only_running(const server_attempt& attempt) const
 {
     return std::none_of(attempts_.begin(), attempts_.end(),
-                        [&](const auto& it) { return it.is_running && &it != &attempt; });
+                        [&](const auto& it) { return is_running(it) && &it != &attempt; });
 }
 
 bool request_flow::is_silent(const server_attempt& attempt) const
 {
     // A caller that reads slowly makes the server wait.
-    return attempt.is_sent && !attempt.is_forwarding &&
+    return is_sent(attempt) && !attempt.is_forwarding &&
            silent_for(attempt, context_.clock.now()) >= attempt.silence_limit;
 }
 
 bool request_flow::are_servers_silent() const
 {
     return is_any_running() && std::all_of(attempts_.begin(), attempts_.end(), [&](const auto& it) {
-               return !it.is_running || is_silent(it);
+               return !is_running(it) || is_silent(it);
            });
 }
 
@@ -200,7 +198,7 @@
 {
     milliseconds out{0};
     for (const auto& it : attempts_) {
-        if (it.is_running) {
+        if (is_running(it)) {
             out = std::max(out, it.silence_limit - silent_for(it, context_.clock.now()));
         }
     }
@@ -209,14 +207,19 @@
 
 bool request_flow::claim(server_attempt& attempt)
 {
-    if (attempt.is_superseded) {
+    if (is_superseded(attempt)) {
         return false;
     }
     for (auto& it : attempts_) {
-        it.has_delivered = &it == &attempt;
-        if (it.is_running && !it.has_delivered) {
+        if (&it == &attempt) {
+            it.delivered = delivery::latest;
+        }
+        else if (is_running(it)) {
             supersede(it, attempt);
         }
+        else if (has_delivered(it)) {
+            it.delivered = delivery::none;
+        }
     }
     if (is_reserving_) {
         attempts_timer_->cancel();
@@ -230,8 +233,8 @@
     attempt.cause = describe_silence(attempt, now) + ", " + winner.credit.backend_id + " delivered";
     // The first to fall silent counts as failed; one that was asked since has had no time.
     attempt.result = is_silent(attempt) ? attempt_end::timed_out : attempt_end::stopped;
-    attempt.is_superseded = true;
-    may_have_run_ = may_have_run_ || attempt.is_sent;
+    attempt.delivered = delivery::superseded;
+    may_have_run_ = may_have_run_ || is_sent(attempt);
     if (attempt.connection) {
         attempt.connection->close();
     }
@@ -244,7 +247,7 @@
                             {"backend", attempt.credit.backend_id},
                             {"end", to_string(attempt.result.value_or(attempt_end::stopped))},
                             {"cause", attempt.cause},
-                            {"superseded", attempt.is_superseded ? 1 : 0},
+                            {"superseded", is_superseded(attempt) ? 1 : 0},
                             {"events", attempt.events.count()},
                             {"ms", since(attempt.dispatched, context_.clock.now()).count()}});
 }
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -58,7 +58,7 @@
 void request_flow::break_off(server_attempt& attempt, std::string cause)
 {
     drop_response(attempt);
-    if (!attempt.is_superseded) {
+    if (!is_superseded(attempt)) {
         attempt.result = attempt_end::broken;
         attempt.cause = std::move(cause);
     }
@@ -100,14 +100,14 @@
 {
     attempt.connection = context_.connections.take(server_key(attempt.credit));
     if (attempt.connection) {
-        co_return !attempt.is_superseded;
+        co_return !is_superseded(attempt);
     }
     attempt.connection.emplace(co_await asio::this_coro::executor);
     attempt.connection->keep_alive(true);
     ip_endpoint address;
     parse_endpoint(attempt.credit.backend_address, address);
     auto error = co_await attempt.connection->connect(address, context_.limits.connect_timeout);
-    if (attempt.is_superseded) {
+    if (is_superseded(attempt)) {
         co_return false;
     }
     if (!error.empty()) {
@@ -125,7 +125,7 @@
 /// Sends the request and reads the header of its response. Returns false on failure.
 asio::awaitable<bool> request_flow::send(server_attempt& attempt)
 {
-    attempt.is_sent = true;
+    attempt.sent = transfer::begun;
     ++servers_reached_;
     note_progress(attempt);
     std::string error;
@@ -157,7 +157,9 @@
     }
     const auto head = context_.protocol.encode(call_, metadata);
     auto error = co_await attempt.connection->write_request(head, call_.message.body, io_timeout());
-    attempt.is_written = error.empty();
+    if (error.empty()) {
+        attempt.sent = transfer::complete;
+    }
     co_return error;
 }
 
@@ -173,7 +175,7 @@
 asio::awaitable<std::string> request_flow::read_header_and_stop_writing(server_attempt& attempt)
 {
     auto error = co_await read_matching_header(attempt);
-    if (!attempt.is_written) {
+    if (attempt.sent != transfer::complete) {
         attempt.connection->stop_writing();
     }
     co_return error;
@@ -280,7 +282,7 @@
         if (error.empty() && !reserve_memory(attempt, body.size())) {
             error = memory_used_up;
         }
-        if (!error.empty() || attempt.is_superseded) {
+        if (!error.empty() || is_superseded(attempt)) {
             break_off(attempt, std::move(error));
             co_return false;
         }
@@ -358,7 +360,7 @@
 {
     std::string data;
     auto error = co_await attempt.connection->read_some(data, is_done, io_timeout());
-    if (attempt.is_superseded) {
+    if (is_superseded(attempt)) {
         co_return false;
     }
     const auto count = attempt.events.count();
@@ -413,8 +415,8 @@
     const bool has_begun =
         attempt.first_event != steady_time{} &&
         context_.clock.now() - attempt.first_event >= context_.limits.crash_after_first_event;
-    if (attempt.credit.is_start_awaited && has_begun &&
-        !std::exchange(attempt.is_start_reported, true)) {
+    if (attempt.credit.is_start_awaited && has_begun) {
+        attempt.credit.is_start_awaited = false;
         context_.credits.report_start(attempt.credit.request_id);
     }
 }
--- a/src/gateway/request_credit.cpp
+++ b/src/gateway/request_credit.cpp
@@ -253,20 +253,21 @@
 
 void request_flow::release_credit(server_attempt& attempt)
 {
-    if (!std::exchange(attempt.has_credit, false)) {
+    if (!has_credit(attempt)) {
         return;
     }
+    attempt.stage = attempt_stage::released;
     const auto now = context_.clock.now();
     const auto* service = find_service(*routes_->content, attempt.service);
     const bool is_server_error = attempt.response.status >= first_server_error;
     granting::release_report report;
     report.outcome =
-        outcome_of(attempt.result.value_or(attempt_end::stopped), attempt.is_sent, is_server_error);
+        outcome_of(attempt.result.value_or(attempt_end::stopped), is_sent(attempt), is_server_error);
     report.duration = since(attempt.dispatched, now);
     report.is_server_leaving = attempt.is_server_leaving;
     // A response of another server shows that the request does not crash those that run it.
     const bool is_refuted = std::any_of(attempts_.begin(), attempts_.end(), [&](const auto& it) {
-        return it.has_delivered && &it != &attempt;
+        return has_delivered(it) && &it != &attempt;
     });
     if (attempt.has_server_crashed && !is_refuted) {
         report.crash_suspects = fingerprints_;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -153,7 +153,7 @@
         return deadline_;
     }
     const bool is_dispatched = std::any_of(attempts_.begin(), attempts_.end(),
-                                           [](const auto& it) { return it.has_credit; });
+                                           [](const auto& it) { return has_credit(it); });
     return is_dispatched ? std::min(deadline_, *by) : latest_dispatch();
 }
 
@@ -227,8 +227,8 @@
     log_error("request-failed", reason);
     refusal_cause_ = reason;
     for (auto& it : attempts_) {
-        may_have_run_ = may_have_run_ || it.is_sent;
-        if (it.has_credit) {
+        may_have_run_ = may_have_run_ || is_sent(it);
+        if (has_credit(it)) {
             break_off(it, reason);
             end_attempt(it);
         }
@@ -271,10 +271,10 @@
 {
     server_attempt* out = nullptr;
     for (auto& it : attempts_) {
-        if (it.is_superseded) {
+        if (is_superseded(it)) {
             continue;
         }
-        if (it.has_delivered) {
+        if (has_delivered(it)) {
             return &it;
         }
         const auto end = it.result.value_or(attempt_end::stopped);
@@ -352,14 +352,14 @@
 {
     stopped_ = cause;
     for (auto& it : attempts_) {
-        if (!it.has_credit) {
+        if (!has_credit(it)) {
             continue;
         }
         if (it.result != attempt_end::completed) {
             it.cause = describe(cause);
             it.result = has_server_timed_out(it) ? attempt_end::timed_out : attempt_end::stopped;
         }
-        may_have_run_ = may_have_run_ || it.is_sent;
+        may_have_run_ = may_have_run_ || is_sent(it);
         it.connection.reset();
         end_attempt(it);
     }
@@ -369,7 +369,7 @@
 /// not as a cancellation by the caller.
 bool request_flow::has_server_timed_out(const server_attempt& attempt) const
 {
-    if (!attempt.is_sent || attempt.first_event != steady_time{}) {
+    if (!is_sent(attempt) || attempt.first_event != steady_time{}) {
         return false;
     }
     return context_.clock.now() - attempt.dispatched >= silence_limit_before_response();
--- a/src/gateway/types/server_attempt.h
+++ b/src/gateway/types/server_attempt.h
@@ -16,6 +16,23 @@
 
 namespace almondline::gateway {
 
+/// Stage in the life of an attempt.
+enum class attempt_stage {
+    running, ///< a coroutine uses the connection
+    ended,   ///< the credit is still held
+    released ///< the credit was returned
+};
+
+/// How much of the request was sent to the server.
+enum class transfer { none, begun, complete };
+
+/// Whether the caller gets what the server of an attempt sends.
+enum class delivery {
+    none,      ///< nothing was delivered, or another attempt delivered later
+    latest,    ///< the response, or the latest event of the stream, is this attempt's
+    superseded ///< another attempt delivered while this one was running
+};
+
 /// One attempt to run a request on one backend server. Owns what belongs to that server alone: the
 /// credit, the connection, and the response as far as it was received.
 struct server_attempt {
@@ -35,14 +52,10 @@
     std::string unforwarded;           ///< complete events and comments
     std::optional<attempt_end> result; ///< empty while the attempt is in progress
     std::string cause;                 ///< of a failure
-    bool has_credit = true;
-    bool is_running = false;         ///< a coroutine uses the connection
-    bool has_delivered = false;      ///< its response, or the latest event of the stream
-    bool is_superseded = false;      ///< another server delivered the response or its next event
-    bool is_sent = false;            ///< sending has started
-    bool is_written = false;         ///< the whole request was sent
+    attempt_stage stage = attempt_stage::running;
+    transfer sent = transfer::none;
+    delivery delivered = delivery::none;
     bool is_forwarding = false;      ///< a part of the response is being sent to the caller
-    bool is_start_reported = false;  ///< to the granter
     bool is_server_leaving = false;  ///< the server reported that it stops soon
     bool has_server_crashed = false; ///< as it started to answer
     steady_time dispatched{};
@@ -51,4 +64,30 @@
     std::chrono::milliseconds silence_limit{0}; ///< from last_progress on
 };
 
+inline bool has_credit(const server_attempt& attempt)
+{
+    return attempt.stage != attempt_stage::released;
+}
+
+inline bool is_running(const server_attempt& attempt)
+{
+    return attempt.stage == attempt_stage::running;
+}
+
+inline bool is_superseded(const server_attempt& attempt)
+{
+    return attempt.delivered == delivery::superseded;
+}
+
+inline bool has_delivered(const server_attempt& attempt)
+{
+    return attempt.delivered == delivery::latest;
+}
+
+/// Returns whether the server may have received a part of the request.
+inline bool is_sent(const server_attempt& attempt)
+{
+    return attempt.sent != transfer::none;
+}
+
 } // namespace almondline::gateway
