Choose the slice of a request by its load

Cause: accounts were bound to slices by a hash, and a second slice was asked only after a refusal.

Change: granters attach the load of their slice to grants and refusals. A holder draws the slice among up to four random ones of the account, with weights that fall linearly with the load; the gain is bound to the time between two figures, so that the holders do not overshoot together. After a refusal for lack of room, up to two slices are asked that have free slots or less urgent work by their figures.

The gateway test's fake returns one pool instead of a list.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -178,9 +178,9 @@
                response_bytes_,
                memory_share(settings, response_memory_share),
                [this] { return routes_; },
-               [this](const std::string& service, const std::string& account,
-                      const std::string& request_id) {
-                   return node_.owned_pools.pools_of(service, account, request_id);
+               [this](const std::string& service, const scheduling::credit_request& request,
+                      const std::vector<granting::pool_refusal>& refused_by) {
+                   return node_.owned_pools.choose_pool(service, request, refused_by);
                },
                [this](const std::string& service, const granting::fingerprints& ids) {
                    return node_.owned_pools.quarantine_wait(service, ids);
--- a/src/gateway/request_credit.cpp
+++ b/src/gateway/request_credit.cpp
@@ -2,7 +2,6 @@
 #include "gateway/internal/durations.h"
 #include "gateway/internal/request_entry.h"
 #include "gateway/request_flow.h"
-#include "scheduling/types/results.h"
 #include "scheduling/types/token_cost.h"
 
 #include <algorithm>
@@ -23,14 +22,6 @@
 constexpr int first_server_error = 500;
 constexpr double unsized_call_cost = 1;
 
-/// Another pool slice of the service may have free capacity, or more of the account's allowance
-/// left.
-bool may_differ_in_other_slice(std::string_view code)
-{
-    return code == scheduling::code_shed || code == scheduling::code_deadline ||
-           code == granting::code_no_backend || code == granting::code_allowance;
-}
-
 granting::release_outcome outcome_of(attempt_end end, bool is_sent, bool is_server_error)
 {
     using granting::release_outcome;
@@ -198,20 +189,22 @@
 {
     const request_entry listed{context_.waiting, *this};
     update_end();
-    bool is_overflow = false;
+    granting::credit_result decision;
+    std::vector<granting::pool_refusal> refused_by;
     while (true) {
+        auto request = make_credit_request();
+        request.request_id = credit_id;
+        const auto pool = context_.choose_pool(service_, request, refused_by);
+        if (pool.empty()) {
+            co_return decision;
+        }
         if (const auto hold = context_.quarantine_wait(service_, fingerprints_)) {
             granting::credit_result refused;
             refused.reason = granting::make_refusal(*hold);
             co_return refused;
         }
-        auto request = make_credit_request();
-        request.request_id = credit_id;
-        const auto pools = context_.pools_of(service_, request.account, call_.attempt_id);
-        auto pool = is_overflow ? pools.back() : pools.front();
         awaited_credit_ = credit_id;
-        auto decision =
-            co_await wait_for_credit(context_.credits, std::move(pool), std::move(request));
+        decision = co_await wait_for_credit(context_.credits, pool, std::move(request));
         const bool is_ownerless =
             !decision.granted && decision.reason.code == granting::code_no_granter;
         if (is_ownerless && !follow_manifest()) {
@@ -225,12 +218,10 @@
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        if (!decision.granted && !is_overflow && pools.size() > 1 &&
-            may_differ_in_other_slice(decision.reason.code)) {
-            is_overflow = true;
-            continue;
+        if (decision.granted) {
+            co_return decision;
         }
-        co_return decision;
+        refused_by.push_back({pool, decision.reason.code});
     }
 }
 
--- a/src/gateway/tests/request_flow_test.cpp
+++ b/src/gateway/tests/request_flow_test.cpp
@@ -127,8 +127,8 @@
                             response_bytes,
                             1'000'000,
                             [this] { return routes; },
-                            [](const std::string& service, const std::string&, const std::string&) {
-                                return std::vector<std::string>{service};
+                            [](const std::string& service, const auto&, const auto& refused_by) {
+                                return refused_by.empty() ? service : std::string{};
                             },
                             [](const std::string&, const granting::fingerprints&) {
                                 return std::optional<granting::quarantine_hold>{};
@@ -158,11 +158,11 @@
 {
     fixture f;
     std::vector<std::string> asked;
-    f.context.pools_of = [&](const std::string& service, const std::string&, const std::string&) {
+    f.context.choose_pool = [&](const std::string& service, const auto&, const auto&) {
         asked.push_back(service);
         if (service == "s") {
             f.routes = make_routes("t");
-            return std::vector<std::string>{service};
+            return service;
         }
         throw std::runtime_error{"seen enough"};
     };
@@ -173,9 +173,9 @@
 TEST_CASE("a waiting request whose route is removed is refused at once")
 {
     fixture f;
-    f.context.pools_of = [&](const std::string& service, const std::string&, const std::string&) {
+    f.context.choose_pool = [&](const std::string& service, const auto&, const auto&) {
         f.routes = make_routes("t", "/other/");
-        return std::vector<std::string>{service};
+        return service;
     };
     const auto begin = f.clock.now();
     f.run();
--- a/src/gateway/types/gateway_context.h
+++ b/src/gateway/types/gateway_context.h
@@ -10,6 +10,7 @@
 #include "gateway/types/flow_limits.h"
 #include "granting/credit_client.h"
 #include "granting/decision_log.h"
+#include "granting/types/pool_refusal.h"
 #include "http/connection_pool.h"
 #include "metrics/registry.h"
 
@@ -41,10 +42,11 @@
     std::atomic<std::uint64_t>& response_bytes; ///< total size of the response bodies held
     std::uint64_t max_response_bytes;           ///< limit of response_bytes
     std::function<std::shared_ptr<const route_table>()> routes; ///< null until a manifest is known
-    /// Pools in which a request may obtain a credit, in order of preference.
-    std::function<std::vector<std::string>(const std::string& service, const std::string& account,
-                                           const std::string& request_id)>
-        pools_of;
+    /// Returns the pool to ask for the credit of a request, or an empty string if no pool other
+    /// than those that have refused it may take it.
+    std::function<std::string(const std::string& service, const scheduling::credit_request& request,
+                              const std::vector<granting::pool_refusal>& refused_by)>
+        choose_pool;
     /// Returns how long a request has to wait because of quarantined parts of its prompt; nothing
     /// if it may run.
     std::function<std::optional<granting::quarantine_hold>(const std::string& service,
--- a/src/granting/internal/granter_core.h
+++ b/src/granting/internal/granter_core.h
@@ -71,6 +71,7 @@
 
 private:
     scheduling::slot_view slots_at(steady_time now) const;
+    wire::slice_load load_at(steady_time now) const;
     /// Reserves the tokens of a request in its account's allowance, unless it already has a charge.
     /// Returns false after refusing the request because the allowance is used up.
     bool reserve_allowance(const scheduling::credit_request& request, steady_time now);
--- a/src/granting/pools.h
+++ b/src/granting/pools.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "balance/load_table.h"
+#include "balance/slice_choice.h"
 #include "granting/credit_client.h"
 #include "granting/granter.h"
 #include "granting/pool_owner.h"
 #include "granting/quarantine_exchange.h"
 #include "granting/slices.h"
+#include "granting/types/pool_refusal.h"
 #include "manifest/types/manifest.h"
 #include "membership/types/member.h"
 #include "store/instance_list.h"
@@ -27,6 +30,7 @@
     /// allowances are counted in one place. Otherwise the owner of each pool is chosen separately.
     bool has_common_owner = false;
     slice_settings slices;
+    balance::balance_settings balance;
     quarantine_exchange_settings quarantines;
 };
 
@@ -59,10 +63,12 @@
     /// Returns the instances that own pools, if a service is divided and this instance owns no
     /// pool; otherwise empty. The owners have the state of the backend servers.
     std::vector<std::string> other_owners() const;
-    /// Returns the pools that a request of an account may use, in order of preference: the
-    /// service's only pool, or two of the account's slices if the service is divided.
-    std::vector<std::string> pools_of(const std::string& service, const std::string& account,
-                                      const std::string& request_id) const;
+    /// Returns the pool to ask for the credit of a request: the service's only pool, or a slice of
+    /// the service chosen by its load. If pools have refused the request, returns another one that
+    /// may take it, or an empty string if there is none. The request must then be asked for there,
+    /// because it counts as part of that slice's load from now on.
+    std::string choose_pool(const std::string& service, const scheduling::credit_request& request,
+                            const std::vector<pool_refusal>& refused_by);
     /// Returns how long a request has to wait because of quarantined parts of its prompt; nothing
     /// if it may run.
     std::optional<quarantine_hold> quarantine_wait(const std::string& service,
@@ -106,6 +112,18 @@
     double allowance_fraction(const divided_service& service, const account_policy& account) const;
     /// Returns the number of slices of the service that an account with this allowance uses.
     std::size_t slice_count_of(const divided_service& service, double allowance) const;
+    balance::slice_choice choose_other_pool(const std::vector<std::string>& slices,
+                                            const balance::slice_request& wanted,
+                                            const std::vector<pool_refusal>& refused_by) const;
+    void log_choice(const scheduling::credit_request& request, const balance::slice_choice& chosen,
+                    const std::vector<pool_refusal>& refused_by);
+    /// Returns the slices that may grant a credit to the account and have not refused it, without
+    /// those that have no owner as long as another one has.
+    std::vector<std::string> usable_slices(const divided_service& service,
+                                           const std::string& account,
+                                           const std::vector<pool_refusal>& refused_by) const;
+    /// Keeps the load of a slice that its granter attached to an answer.
+    void note_load(const std::string& from, const wire::envelope& message);
     /// Removes a replica from all granters, with its speed estimates.
     void drop_replica(const std::string& id);
     void update_replicas(granter& target, const pool_slice& slice);
@@ -127,6 +145,7 @@
     bool has_table_per_pool_ = false; ///< set while a service is divided
     /// By pool, or a single common one while no service is divided. Granters refer to them.
     std::map<std::string, scheduling::allowance_table> allowance_tables_;
+    balance::load_table loads_;                                ///< of the slices
     quarantine_exchange quarantines_;                          ///< granters refer to its tables
     std::map<std::string, std::unique_ptr<granter>> granters_; ///< by pool
 };
--- a/src/granting/tests/pools_test.cpp
+++ b/src/granting/tests/pools_test.cpp
@@ -72,6 +72,14 @@
     return out;
 }
 
+scheduling::credit_request request(const std::string& id, const std::string& account)
+{
+    scheduling::credit_request out;
+    out.request_id = id;
+    out.account = account;
+    return out;
+}
+
 /// Several instances, each with its pools object.
 struct fixture {
     explicit fixture(int instances)
@@ -161,18 +169,21 @@
     for (const auto* account : {"large", "small"}) {
         std::set<std::string> used;
         for (int i = 0; i < 200; ++i) {
-            const auto id = "r" + std::to_string(i);
-            const auto chosen = f.all.front()->pools_of("chat", account, id);
-            CHECK(chosen.size() == 2);
-            CHECK(chosen == f.all.back()->pools_of("chat", account, id));
-            for (const auto& it : chosen) {
+            const auto wanted = request("r" + std::to_string(i), account);
+            const auto first = f.all.front()->choose_pool("chat", wanted, {});
+            CHECK(first == f.all.back()->choose_pool("chat", wanted, {}));
+            const auto second = f.all.front()->choose_pool("chat", wanted, {{first, "shed"}});
+            CHECK(second != first);
+            for (const auto& it : {first, second}) {
                 CHECK_FALSE(f.all.front()->owner_of(it).instance_id.empty());
                 used.insert(it);
             }
         }
         CHECK(used.size() == (std::string{account} == "large" ? 4 : 2));
     }
-    CHECK(f.all.front()->pools_of("desk", "large", "r") == std::vector<std::string>{"desk"});
+    const auto other = request("r", "large");
+    CHECK(f.all.front()->choose_pool("desk", other, {}) == "desk");
+    CHECK(f.all.front()->choose_pool("desk", other, {{"desk", "shed"}}).empty());
 }
 
 // Requests that wait in a pool under its former name would not be answered before their deadline.
@@ -184,11 +195,11 @@
     CHECK(any.exists("chat"));
     f.apply(servers(64));
     CHECK_FALSE(any.exists("chat"));
-    const auto slices = any.pools_of("chat", "large", "r");
-    CHECK(any.exists(slices.front()));
+    const auto slice = any.choose_pool("chat", request("r", "large"), {});
+    CHECK(any.exists(slice));
     auto content = std::make_shared<manifest>(*make_manifest());
     content->services.erase(content->services.begin());
     any.apply_manifest(content);
-    CHECK_FALSE(any.exists(slices.front()));
+    CHECK_FALSE(any.exists(slice));
     CHECK(any.exists("desk"));
 }
--- a/src/granting/types/granting_settings.h
+++ b/src/granting/types/granting_settings.h
@@ -45,6 +45,8 @@
     /// Candidates listed with a grant in the log and in the message to its holder, best first. 64
     /// of them would add 1 KB to each grant.
     std::size_t max_logged_candidates = 8;
+    /// The answers to holders contain the load of the slice. Only of use if there are others.
+    bool reports_load = false;
     routing::routing_config routing;
 };
 
--- a/src/peer/messages.thrift
+++ b/src/peer/messages.thrift
@@ -102,6 +102,16 @@
   19: optional list<i64> prompt_parts,
 }
 
+// State of a slice as its granter sees it. Attached to its answers if the service is divided.
+struct slice_load {
+  1: required i32 slots,
+  2: required i32 free_slots,
+  // Waiting requests by tier, the most urgent first. Trailing zeros are left out.
+  3: optional list<i32> waiting,
+  // Least urgent tier that has requests in progress. Unset: none.
+  4: optional i32 lowest_running,
+}
+
 struct grant_message {
   1: required string request_id,
   2: required string pool,
@@ -117,6 +127,7 @@
   // Requests with something that this one contains crashed backend servers. The holder reports when
   // its response has begun without a crash.
   10: optional bool start_awaited,
+  11: optional slice_load load,
 }
 
 struct refusal_message {
@@ -125,6 +136,7 @@
   3: required string code,
   4: required string message,
   5: required i64 retry_after_ms,
+  6: optional slice_load load,
 }
 
 // The holder dispatched the request under this credit.
