--- a/src/gateway/internal/credit_acquisition.cpp
+++ b/src/gateway/internal/credit_acquisition.cpp
@@ -7,50 +7,39 @@
 #include "gateway/internal/request_service.h"
 #include "gateway/internal/request_times.h"
 #include "granting/quarantine.h"
-#include "scheduling/types/results.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
+#include <vector>
 
 namespace almondline::gateway {
 
 namespace asio = boost::asio;
 
-namespace {
-
-/// Another pool slice of the service may have free capacity, or more of the account's allowance
-/// left.
-bool may_differ_in_other_slice(std::string_view code)
-{
-    return code == scheduling::code_shed || code == scheduling::code_deadline ||
-           code == granting::code_no_backend || code == granting::code_allowance;
-}
-
-} // namespace
-
 asio::awaitable<granting::credit_result> request_credit(request_flow& flow, std::string credit_id)
 {
     auto& context = flow.context;
     auto& request = flow.request;
     const request_entry listed{context.waiting, flow};
     update_end(flow);
-    bool is_overflow = false;
+    granting::credit_result decision;
+    std::vector<granting::pool_refusal> refused_by;
     while (true) {
+        auto wanted = make_credit_request(flow, credit_id);
+        const auto pool = context.choose_pool(request.service, wanted, refused_by);
+        if (pool.empty()) {
+            co_return decision;
+        }
         if (const auto hold = context.quarantine_wait(request.service, request.fingerprints)) {
             granting::credit_result refused;
             refused.reason = granting::make_refusal(*hold);
             co_return refused;
         }
-        auto wanted = make_credit_request(flow, credit_id);
-        const auto pools =
-            context.pools_of(request.service, wanted.account, request.received.attempt_id);
-        auto pool = is_overflow ? pools.back() : pools.front();
         flow.credits.awaited = credit_id;
-        auto decision =
-            co_await wait_for_credit(context.credits, std::move(pool), std::move(wanted));
+        decision = co_await wait_for_credit(context.credits, pool, std::move(wanted));
         const bool is_ownerless =
             !decision.granted && decision.reason.code == granting::code_no_granter;
         if (is_ownerless && !follow_manifest(request, context.routes(), context.random)) {
@@ -65,12 +54,10 @@
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        if (!decision.granted && !is_overflow && pools.size() > 1 &&
-            may_differ_in_other_slice(decision.reason.code)) {
-            is_overflow = true;
-            continue;
+        if (decision.granted) {
+            co_return decision;
         }
-        co_return decision;
+        refused_by.push_back({pool, decision.reason.code});
     }
 }
 
