Log the times of dispatch, first event and longest pause of a request

The line "answer" gave the whole time of a request only, so a late first event could not be told from a pause within a stream, nor queueing from a slow replica. It gains dispatch_ms (arrival to the first byte sent to a replica), first_event_ms (arrival to the first event forwarded) and longest_gap_ms (between two forwarded events), -1 where there is none. The header of a stream is no measure of its first event: the comments of a stream that must not be repeated start it earlier.

--- a/src/gateway/internal/attempt_sending.cpp
+++ b/src/gateway/internal/attempt_sending.cpp
@@ -124,7 +124,9 @@
     const auto& limits = flow.context.limits;
     attempt.sent = transfer::begun;
     ++flow.attempts.servers_reached;
-    attempt.last_progress = flow.context.clock.now();
+    const auto now = flow.context.clock.now();
+    flow.attempts.first_sent = flow.attempts.first_sent.value_or(now);
+    attempt.last_progress = now;
     std::string error;
     if (flow.request.received.message.body.size() > limits.max_body_sent_before_reading) {
         error = co_await write_while_reading(flow, attempt);
--- a/src/gateway/internal/event_relay.cpp
+++ b/src/gateway/internal/event_relay.cpp
@@ -118,6 +118,9 @@
     if (has_event && !claim(flow.attempts, attempt, context.clock.now())) {
         co_return false;
     }
+    if (has_event) {
+        note_event(flow.answer.events, context.clock.now());
+    }
     if (may_forward(flow, attempt, has_event)) {
         const bool is_forwarded = co_await forward_events(flow, attempt);
         if (!is_forwarded) {
--- a/src/gateway/internal/final_response.cpp
+++ b/src/gateway/internal/final_response.cpp
@@ -4,14 +4,31 @@
 #include "gateway/internal/durations.h"
 #include "gateway/internal/forwarding_headers.h"
 
+#include <chrono>
+#include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace almondline::gateway {
 
 namespace asio = boost::asio;
+using std::chrono::milliseconds;
 
 namespace {
 
+/// Returns a time in milliseconds for the log, -1 if there is none.
+std::int64_t to_field(std::optional<milliseconds> time)
+{
+    return time ? time->count() : -1;
+}
+
+/// Returns the time from the arrival of a request to a point, if that was reached.
+std::optional<milliseconds> time_until(const request_state& request,
+                                       std::optional<steady_time> reached)
+{
+    return reached ? std::optional{since(request.started, *reached)} : std::nullopt;
+}
+
 /// Logs the end of a request. The last attempt is null if there was none.
 void log_end(request_flow& flow, const server_attempt* last, int status, std::string_view code)
 {
@@ -37,6 +54,9 @@
          {"events", has_attempt ? last->events.count() : 0},
          {"servers", flow.attempts.servers_reached},
          {"may_have_run", flow.attempts.may_have_run ? 1 : 0},
+         {"dispatch_ms", to_field(time_until(request, flow.attempts.first_sent))},
+         {"first_event_ms", to_field(time_until(request, flow.answer.events.first))},
+         {"longest_gap_ms", to_field(flow.answer.events.longest_gap)},
          {"ms", since(request.started, now).count()}});
 }
 
--- a/src/gateway/internal/request_attempts.h
+++ b/src/gateway/internal/request_attempts.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "common/clock.h"
 #include "gateway/internal/server_attempt.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <list>
+#include <optional>
 
 namespace almondline::gateway {
 
@@ -16,7 +18,8 @@
     /// Of earlier rounds, those that ended with a server's error response, which the caller gets if
     /// no other attempt ends with a response.
     std::list<server_attempt> answered{};
-    int servers_reached = 0;     ///< servers to which the request was sent
+    std::optional<steady_time> first_sent{}; ///< when the first server got a part of the request
+    int servers_reached = 0;                 ///< servers to which the request was sent
     int unreachable_servers = 0; ///< servers to which no connection could be established
     bool may_have_run = false;   ///< on any server
     bool is_reserving = false;   ///< a credit for a server beside silent ones is being requested
--- a/tests/platform/contract_test.py
+++ b/tests/platform/contract_test.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import re
 import signal
 import sys
 import threading
@@ -123,6 +124,56 @@
         self.assertEqual(ids, [b"id: 1", b"id: 2", b"id: 3"])
         self.assertEqual(len(set(arrivals)), 2)
 
+    def test_answer_line_tells_the_first_event_and_the_longest_pause(self):
+        # A comment starts the caller's stream long before the first event. The pause between two
+        # events begins only when the caller has the first one.
+        has_event = threading.Event()
+
+        def pause(handler):
+            handler.start_stream()
+            handler.write_chunk(b":\n\n")
+            time.sleep(0.3)
+            handler.write_chunk(b"id: 1\ndata: 1\n\n")
+            has_event.wait(5)
+            time.sleep(0.5)
+            handler.write_chunk(b"id: 2\ndata: 2\n\n")
+            handler.wfile.write(b"0\r\n\r\n")
+            return True
+
+        self.on_first_arrival("pool", pause)
+        caller = http.client.HTTPConnection("127.0.0.1", self.fleet.gateways[0].ports["front"])
+        self.addCleanup(caller.close)
+        caller.request("POST", "/stream/1", b"hello", self.fleet.request_fields())
+        response = caller.getresponse()
+        body = b""
+        while b"data: 1" not in body:
+            body += response.read1()
+        has_event.set()
+        self.assertEqual((body + response.read()).count(b"data:"), 2)
+        stream = self.answer_line()
+        self.assertGreaterEqual(stream["dispatch_ms"], 0)
+        self.assertGreaterEqual(stream["first_event_ms"] - stream["dispatch_ms"], 295)
+        self.assertGreaterEqual(stream["longest_gap_ms"], 495)
+        self.assertLessEqual(stream["first_event_ms"] + stream["longest_gap_ms"], stream["ms"])
+        self.fleet.request("/order/1")
+        plain = self.answer_line()
+        self.assertGreaterEqual(plain["dispatch_ms"], 0)
+        self.assertEqual((plain["first_event_ms"], plain["longest_gap_ms"]), (-1, -1))
+        self.fleet.request("/nowhere/1")
+        self.assertEqual(self.answer_line()["dispatch_ms"], -1)
+
+    def answer_line(self):
+        """Returns the numbers in the line "answer" about the last request."""
+        lines = []
+
+        def find():
+            lines[:] = re.findall(rf"event=answer request=attempt-{self.fleet.attempts} .*",
+                                  self.fleet.gateways[0].process.out_path.read_text())
+            return lines
+
+        self.assertTrue(wait_until(find))
+        return {k: int(v) for k, v in re.findall(r"(\w+)=(-?\d+)\b", lines[0])}
+
     def test_slow_but_progressing_stream_is_not_aborted(self):
         for it in self.fleet.replicas.values():
             it.event_pause = 0.4  # twice the target gap of the route
