--- a/src/gateway/internal/credit_release.cpp
+++ b/src/gateway/internal/credit_release.cpp
@@ -13,7 +13,7 @@
 granting::release_outcome outcome_of(const server_attempt& attempt)
 {
     using granting::release_outcome;
-    switch (attempt.result.value_or(attempt_end::stopped)) {
+    switch (end_of(attempt)) {
     case attempt_end::completed:
         return release_outcome::finished;
     case attempt_end::failure_reply:
