Keep the read buffer of a stream between its parts

relay_part() allocated a string for each part of a stream. The attempt owns it now; like the buffer of complete events it is freed if it grew beyond the 8 KiB that need no reservation, and with the rest of the response. Not measured: the saving is an allocation for each part.

platform_broken_stream, platform_contract and platform_stream_memory pass.

Left as it is: encode_dispatch() copies the headers of a call for each attempt. The copy lasts as long as the write, and Last-Event-Id may replace a header of the caller, so avoiding it takes a request view with removed and added headers in the HTTP client.

--- a/src/gateway/internal/event_relay.cpp
+++ b/src/gateway/internal/event_relay.cpp
@@ -17,6 +17,15 @@
 
 namespace {
 
+/// Empties a buffer. Keeps its memory unless that would need a reservation.
+void clear(std::string& buf, const flow_limits& limits)
+{
+    buf.clear();
+    if (buf.capacity() > limits.unreserved_response_bytes) {
+        buf.shrink_to_fit();
+    }
+}
+
 /// Returns whether what was received of a stream may be sent to the caller now.
 bool may_forward(const request_flow& flow, const server_attempt& attempt, bool has_event)
 {
@@ -72,10 +81,7 @@
     }
     flow.answer.last_event_id = attempt.events.last_id();
     const bool is_written = co_await send_to_caller(flow, attempt.response, attempt.unforwarded);
-    attempt.unforwarded.clear();
-    if (attempt.unforwarded.capacity() > flow.context.limits.unreserved_response_bytes) {
-        attempt.unforwarded.shrink_to_fit();
-    }
+    clear(attempt.unforwarded, flow.context.limits);
     attempt.is_forwarding = false;
     if (!is_written) {
         flow.answer.stopped = stop_cause::caller_left;
@@ -104,14 +110,14 @@
 asio::awaitable<bool> relay_part(request_flow& flow, server_attempt& attempt, bool& is_done)
 {
     auto& context = flow.context;
-    std::string data;
+    clear(attempt.received, context.limits);
     const auto timeout = io_timeout(flow.request, context.limits, context.clock.now());
-    auto error = co_await attempt.connection->read_some(data, is_done, timeout);
+    auto error = co_await attempt.connection->read_some(attempt.received, is_done, timeout);
     if (is_superseded(attempt)) {
         co_return false;
     }
     const auto count = attempt.events.count();
-    const bool is_in_limit = attempt.events.split(data, attempt.unforwarded);
+    const bool is_in_limit = attempt.events.split(attempt.received, attempt.unforwarded);
     // Only complete events count as progress: a stalled server may still send single bytes or
     // comments, which only keep the connection alive.
     const bool has_event = attempt.events.count() > count;
--- a/src/gateway/internal/held_response.cpp
+++ b/src/gateway/internal/held_response.cpp
@@ -15,6 +15,7 @@
 {
     attempt.connection.reset();
     attempt.response.body = {};
+    attempt.received = {};
     attempt.unforwarded = {};
     attempt.events.drop_incomplete();
     attempt.response_memory.resize(0);
--- a/src/gateway/internal/server_attempt.h
+++ b/src/gateway/internal/server_attempt.h
@@ -48,6 +48,7 @@
     std::optional<http_connection> connection; ///< may be closed, but not destroyed, from outside
     http_response response;                    ///< header, and the body unless it is a stream
     body_reservation response_memory;
+    std::string received;              ///< the part of a stream that was read last
     backend::event_splitter events;    ///< skips those forwarded from other servers
     std::string unforwarded;           ///< complete events and comments
     std::optional<attempt_end> result; ///< empty while the attempt is in progress
