--- a/review/support-2/case_fleet.py
+++ b/review/support-2/case_fleet.py
@@ -147,6 +147,8 @@
                          for n in range(gateways)]
 
     def __enter__(self):
+        # Ends the processes also if run.sh stops the case.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         try:
             for it in self.gateways:
                 it.start()
