--- a/review/support-2/case_fleet.py
+++ b/review/support-2/case_fleet.py
@@ -3,6 +3,7 @@
 the store and of the replicas."""
 
 import http.client
+import itertools
 import json
 import os
 import re
@@ -32,10 +33,22 @@
     """The case could not be played; run.sh exits with 2."""
 
 
+# Below the ephemeral range of Linux (32768 and up), so that no outgoing connection takes a port
+# before the process that it is meant for listens there.
+PORTS = itertools.cycle(range(10_000, 32_000))
+for _ in range(os.getpid() * 131 % 22_000):
+    next(PORTS)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    for port in itertools.islice(PORTS, 22_000):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise CannotRun("no port is free")
 
 
 def lookup(path, scopes):
@@ -155,7 +168,8 @@
             deadline = time.monotonic() + 20
             while not all(it.is_ready() for it in self.gateways):
                 if time.monotonic() > deadline:
-                    raise CannotRun("the gateways are not ready")
+                    ended = [it.name for it in self.gateways if not it.is_running()]
+                    raise CannotRun(f"the gateways are not ready, ended: {ended}")
                 time.sleep(0.1)
             time.sleep(4)  # contact_ms and a little more: the machines are in touch
         except BaseException:
