Treat a response without a length as cut if a write was told of the reset

What callers saw: a replica answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of the body and reset the connection while the upload was still being written. The same happened on kept connections, on the last attempt, at a second server, and with streams, which ended early as if they were whole.

Cause: the kernel reports a reset once. While a long request is written and its response is read, the event loop lets the write go first, so the write took the error. The read then got the bytes that had arrived and a plain end of file, which is the regular end of a response without a length.

Change: http_connection, through which every response is read, remembers that a write failed because the connection was lost, and read_some() then doesn't accept the end of the connection as the end of a response. A broken pipe is not such a failure: the kernel reports it after the server has ended the connection in order, when all bytes have arrived, so a whole early response is still delivered. stop_writing() cancels the write before it shuts down the sending direction, so that a write that is no longer wanted can't take a later reset.

Responses with a length or chunks, and those that end in order, are delivered as before (rows of the same tests, which passed before too).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -53,6 +53,13 @@
     return out;
 }
 
+/// Returns whether a write failed because the connection was reset or lost. The kernel reports that
+/// only once; a read then sees a regular end. After a regular end, it reports a broken pipe.
+bool is_lost_connection(const boost::system::error_code& ec)
+{
+    return ec && ec != asio::error::broken_pipe && ec != asio::error::operation_aborted;
+}
+
 } // namespace
 
 struct http_connection::state {
@@ -67,6 +74,7 @@
     std::optional<http::response_parser<http::buffer_body>> parser;
     bool is_keep_alive = false;
     bool has_response_body = true; ///< false after a HEAD request
+    bool is_reset = false;         ///< as a write was told
 };
 
 http_connection::http_connection(asio::any_io_executor executor)
@@ -120,6 +128,7 @@
     const auto message = to_beast(head, body, state_->is_keep_alive);
     state_->stream.lower().expires_after(timeout);
     const auto [ec, n] = co_await http::async_write(state_->stream, message, use_tuple);
+    state_->is_reset = is_lost_connection(ec);
     co_return ec ? "write: " + ec.message() : std::string{};
 }
 
@@ -159,6 +168,9 @@
     const auto [ec, n] =
         co_await http::async_read_some(state_->stream, state_->buf, parser, use_tuple);
     body.append(buf, sizeof buf - parser.get().body().size);
+    if (parser.is_done() && parser.need_eof() && state_->is_reset) {
+        co_return "read body: the connection was reset during the request";
+    }
     is_done = parser.is_done();
     if (ec && ec != http::error::need_buffer) {
         co_return "read body: " + ec.message();
@@ -202,6 +214,8 @@
 {
     boost::system::error_code ec;
     state_->is_keep_alive = false;
+    // A write that went on could take a reset that the following reads have to see.
+    state_->stream.lower().cancel();
     state_->stream.lower().socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -60,7 +60,8 @@
     boost::asio::awaitable<std::string> read_header(http_response& response,
                                                     std::chrono::milliseconds timeout);
     /// Appends the next part of the body. Sets is_done at the end of the body; a connection that is
-    /// closed before that is a failure.
+    /// closed before that is a failure. So is one that is reset, also if only the write of the
+    /// request was told: write_request() must have returned.
     boost::asio::awaitable<std::string> read_some(std::string& body, bool& is_done,
                                                   std::chrono::milliseconds timeout);
     void close();
@@ -73,7 +74,8 @@
     /// True if the last response has neither a length nor chunks, so that only the end of the
     /// connection marks its end.
     bool is_ended_by_close() const;
-    /// Aborts a write_request() in progress. The connection can't be used for another request.
+    /// Aborts a write_request() in progress. No read may be in progress. The connection can't be
+    /// used for another request.
     void stop_writing();
     /// Closes the connection if sent bytes stay unacknowledged for this time (TCP_USER_TIMEOUT), to
     /// detect a server that has become unreachable. Must be called after connect().
--- a/tests/platform/gateway_fleet.py
+++ b/tests/platform/gateway_fleet.py
@@ -118,6 +118,7 @@
     def tearDown(self):
         for it in self.fleet.replicas.values():
             it.behaviour = lambda handler: None
+            it.early_behaviour = lambda handler: None
             it.events = 3
 
 
--- a/tests/platform_standins/replica.py
+++ b/tests/platform_standins/replica.py
@@ -16,6 +16,7 @@
         self.runs = []           # attempt ids that ran, in order
         self.requests = []       # headers of each arrival
         self.behaviour = lambda handler: None  # may answer on its own and return True
+        self.early_behaviour = lambda handler: None  # the same, before the body is read
         self.events = 3
         self.event_pause = 0.0
         self.before_event = lambda: None
@@ -119,6 +120,8 @@
 
     def handle_call(self):
         replica = self.replica
+        if replica.early_behaviour(self):
+            return
         length = int(self.headers.get("Content-Length", 0))
         self.body = self.rfile.read(length)
         replica.requests.append((self.command, self.path, dict(self.headers)))
