Reject responses with a status outside 100 to 599

What callers saw: a replica in trouble answered with a status that no response has. 600 and 999 were passed on as its answer. 000, 001 and 099 were taken for interim responses: the gateway skipped them and waited for another one, and the caller got 504 at the route's timeout, or what the replica sent behind them. call_http(), which almondline-entry's plain calls, the store's client, probes of load and almondctl use, read the body of such a response as the next response, and took a response in that body for the server's.

Cause: Beast's parser accepts any three digits, and the readers compared the status with 200 only.

Change: http_connection::read_header(), through which every response is read, fails for a status outside 100 to 599 (RFC 9110, section 15). The attempt is broken at once: another replica is asked where that is allowed, else the caller gets 502.

Evidence: http_tests "a response whose status" failed for all 6 statuses, in all 3 forms with a body or behind it a valid response. platform_invalid_response failed in 64 cases of 8 tests on the code before (24 with 504, 20 with 600, 20 with 999), over first and last attempts, second replicas, resumed streams, kept connections and long uploads; both pass with the change.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -31,7 +31,9 @@
 constexpr int max_unanswered_probes = 2;
 /// Interim responses that are skipped before the connection counts as failed.
 constexpr int max_interim_responses = 4;
+constexpr int first_status = 100;
 constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 
 using span_request = http::request<http::span_body<const char>>;
 
@@ -145,7 +147,11 @@
     if (ec) {
         co_return "read header: " + ec.message();
     }
-    response.status = parser.get().result_int();
+    const auto status = static_cast<int>(parser.get().result_int());
+    if (status < first_status || status > last_status) {
+        co_return "read header: the status " + std::to_string(status) + " is invalid";
+    }
+    response.status = status;
     for (const auto& it : parser.get()) {
         response.headers.push_back({std::string{it.name_string()}, std::string{it.value()}});
     }
