Reject responses with a folded header line

What callers saw: a replica in trouble sent a header in which the name of a field began with a blank or a tab. The caller got the line as a part of the value before it.

Cause: Beast's parser takes a line that begins with a blank or a tab for the continuation of the value before it (obsolete line folding), so the field was neither rejected nor followed. A blank or a control byte at any other place of a name, and in the first line, was rejected by the parser already.

Change: http_internal::read_response_header() reads the header in place of Beast's async_read_header() and rejects a folded line; RFC 9112, section 5.2, lets a gateway do that. Errors, limits and the sizes of reads stay as they were.

Blanks, tabs and other bytes within a value are still accepted ("in the value of a field").

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,6 @@
 #include "http/client.h"
 
-#include "tls/internal/optional_tls_stream.h"
+#include "http/internal/response_header.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -70,10 +70,10 @@
     {
     }
 
-    tls_internal::optional_tls_stream<beast::tcp_stream> stream;
+    http_internal::client_stream stream;
     http_client_tls tls;
     beast::flat_buffer buf{max_buffered};
-    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<http_internal::response_parser> parser;
     bool is_keep_alive = false;
     bool has_response_body = true; ///< false after a HEAD request
     bool is_reset = false;         ///< as a write was told
@@ -142,8 +142,8 @@
     parser.body_limit(boost::none);
     parser.skip(!state_->has_response_body);
     state_->stream.lower().expires_after(timeout);
-    const auto [ec, n] =
-        co_await http::async_read_header(state_->stream, state_->buf, parser, use_tuple);
+    const auto ec =
+        co_await http_internal::read_response_header(state_->stream, state_->buf, parser);
     if (ec) {
         co_return "read header: " + ec.message();
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,8 +56,8 @@
     boost::asio::awaitable<std::string> write_request(const http_request& head,
                                                       std::string_view body,
                                                       std::chrono::milliseconds timeout);
-    /// Reads the response header and fills in status and headers. A status outside 100 to 599 is a
-    /// failure.
+    /// Reads the response header and fills in status and headers. A status outside 100 to 599 and a
+    /// line that continues the one before it are failures.
     boost::asio::awaitable<std::string> read_header(http_response& response,
                                                     std::chrono::milliseconds timeout);
     /// Appends the next part of the body. Sets is_done at the end of the body; a connection that is
--- a/src/http/tests/invalid_response_test.cpp
+++ b/src/http/tests/invalid_response_test.cpp
@@ -29,6 +29,29 @@
     CHECK(result.response.body.empty());
 }
 
+/// The bytes that no name of a field may hold: controls, the blank and DEL.
+std::string invalid_bytes()
+{
+    constexpr char blank = ' ';
+    constexpr char del = 0x7f;
+    std::string out;
+    for (char it = 0; it <= blank; ++it) {
+        out += it;
+    }
+    return out + del;
+}
+
+std::vector<std::string> names_with(char invalid, const std::string& name)
+{
+    std::vector<std::string> out;
+    for (const auto at : {std::size_t{0}, std::size_t{1}, name.size() / 2, name.size()}) {
+        auto broken = name;
+        broken.insert(at, 1, invalid);
+        out.push_back(std::move(broken));
+    }
+    return out;
+}
+
 } // namespace
 
 // A status below 100 was skipped like an interim response, and its body was read as the response.
@@ -41,3 +64,38 @@
         }
     }
 }
+
+// A line that begins with a blank was appended to the value before it, so that a length or coding
+// in it was not followed and the caller got the line as a part of that value.
+TEST_CASE("a response with a blank or control byte in the name of a field is invalid")
+{
+    struct field {
+        std::string name;
+        std::string value;
+    };
+    const field fields[] = {
+        {"X-Field", "1"}, {"Content-Length", "5"}, {"Transfer-Encoding", "chunked"}};
+    raw_server server;
+    for (const auto& field : fields) {
+        for (const char invalid : invalid_bytes()) {
+            for (const auto& name : names_with(invalid, field.name)) {
+                const auto line = name + ": " + field.value + "\r\n";
+                check_no_response(server, "HTTP/1.1 200 OK\r\n" + line + "X-Id: 7\r\n\r\nhello");
+                check_no_response(server, "HTTP/1.1 200 OK\r\nX-Id: 7\r\n" + line + "\r\nhello");
+            }
+        }
+    }
+}
+
+TEST_CASE("a response with a blank, a tab or other bytes in the value of a field is valid")
+{
+    raw_server server;
+    for (const auto* value : {"", " ", "\t", "a b", "a\tb", " a ", "\xc3\xa9"}) {
+        CAPTURE(value);
+        const auto bytes = "HTTP/1.1 200 OK\r\nX-Id:" + std::string{value} + "\r\n" +
+                           "Content-Length: 5\r\n\r\nhello";
+        const auto result = call_raw(server, bytes, false);
+        CHECK(result.progress == http_progress::complete);
+        CHECK(result.response.body == "hello");
+    }
+}
--- a/tests/platform/invalid_response_test.py
+++ b/tests/platform/invalid_response_test.py
@@ -1,5 +1,6 @@
-"""Tests of replicas that send responses with a status outside 100 to 599. Callers of other systems
-got them as responses."""
+"""Tests of replicas that send bytes that are no response: a status outside 100 to 599, or a blank or
+control byte in the name of a header field. Callers of other systems got them as responses, with that
+line passed on, or with a body that was not the replica's."""
 
 import sys
 import unittest
@@ -10,6 +11,7 @@
 from broken_responses import EVENTS, BrokenResponseTest, break_off  # noqa: E402
 
 STATUSES = [b"000", b"001", b"099", b"600", b"999"]
+INVALID_BYTES = [b" ", b"\t", b"\x00", b"\x01", b"\x0b", b"\x1f", b"\x7f"]
 BODY = b"ran, but this is no response"
 
 
@@ -41,6 +43,21 @@
     return answer
 
 
+def with_name(name, value, body, framing=b""):
+    """Returns a function that sends a response in whose header a field has an invalid name."""
+    def answer(handler):
+        fields = head(handler, body.startswith(b"id:"))
+        return send(handler, fields + name + b": " + value + b"\r\n" + framing + b"\r\n" + body,
+                    closes=True)
+    return answer
+
+
+def invalid_names(name):
+    for byte in INVALID_BYTES:
+        for at in [0, 1, len(name)]:
+            yield name[:at] + byte + name[at:]
+
+
 def invalid_responses(is_stream):
     """Yields a name and a function for each invalid response."""
     body = b"".join(EVENTS) if is_stream else BODY
@@ -49,6 +66,14 @@
             for hides_response in [False, True]:
                 yield (f"status {status}, closes {closes}, hides a response {hides_response}",
                        with_status(status, body, closes, hides_response))
+    length = b"Content-Length: %d\r\n" % len(body)
+    chunked = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    for name in invalid_names(b"X-Field"):
+        yield f"name {name}", with_name(name, b"1", body, length)
+    for name in invalid_names(b"Content-Length"):
+        yield f"name {name}", with_name(name, b"%d" % len(body), body + b"more")
+    for name in invalid_names(b"Transfer-Encoding"):
+        yield f"name {name}", with_name(name, b"chunked", chunked)
 
 
 class InvalidResponseTest(BrokenResponseTest):
