Skip interim responses wherever a response is read

What callers saw: an engine that sent an interim response, such as 103, before its stream got it passed on as its answer by almondline-entry, with status 103 and no body; the same for a resumed stream, which then failed. The sender of placement orders counted it as a failure and sent the order again. The gateway and call_http() skipped interim responses already.

Cause: three readers called http_connection::read_header() and took its first header for the response; only call_http() had a loop for interim ones.

Change: that loop is read_final_header() of http/client.h now, and dispatch_completion(), its resumes, the sender of orders and the overhead measurement use it. At most four interim responses are skipped, as before.

--- a/src/backend/dispatch.cpp
+++ b/src/backend/dispatch.cpp
@@ -107,7 +107,7 @@
     if (!outcome_.message.empty()) {
         co_return read_end::broken;
     }
-    outcome_.message = co_await connection.read_header(outcome_.response, limits_.silence);
+    outcome_.message = co_await read_final_header(connection, outcome_.response, limits_.silence);
     if (!outcome_.message.empty()) {
         outcome_.response = {};
         co_return read_end::broken;
@@ -237,7 +237,7 @@
         co_return read_end::broken;
     }
     http_response header;
-    outcome_.message = co_await connection.read_header(header, limits_.silence);
+    outcome_.message = co_await read_final_header(connection, header, limits_.silence);
     if (!outcome_.message.empty()) {
         co_return read_end::broken;
     }
--- a/src/bench/internal/overhead.cpp
+++ b/src/bench/internal/overhead.cpp
@@ -75,7 +75,7 @@
     }
     http_response response;
     if (failure.empty()) {
-        failure = co_await connection.read_header(response, call_timeout);
+        failure = co_await read_final_header(connection, response, call_timeout);
     }
     std::string body;
     bool is_done = false;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -245,9 +245,6 @@
     socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>{max_unanswered_probes}, ec);
 }
 
-namespace {
-
-/// Reads headers until one belongs to a final response.
 asio::awaitable<std::string> read_final_header(http_connection& connection, http_response& response,
                                                std::chrono::milliseconds timeout)
 {
@@ -258,11 +255,10 @@
             co_return error;
         }
     }
+    response = {};
     co_return "received only interim responses";
 }
 
-} // namespace
-
 asio::awaitable<probe_result> probe_listener(ip_endpoint address, std::chrono::milliseconds timeout)
 {
     boost::system::error_code ec;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,8 +56,9 @@
     boost::asio::awaitable<std::string> write_request(const http_request& head,
                                                       std::string_view body,
                                                       std::chrono::milliseconds timeout);
-    /// Reads the response header and fills in status and headers. A status outside 100 to 599 and a
-    /// line that continues the one before it are failures.
+    /// Reads the next response header, which may be that of an interim response, and fills in
+    /// status and headers. A status outside 100 to 599 and a line that continues the one before it
+    /// are failures.
     boost::asio::awaitable<std::string> read_header(http_response& response,
                                                     std::chrono::milliseconds timeout);
     /// Appends the next part of the body. Sets is_done at the end of the body; a connection that is
@@ -90,6 +91,12 @@
     std::unique_ptr<state> state_;
 };
 
+/// Reads headers until one belongs to a final response, and fills in its status and headers.
+/// Returns an empty string, or the cause of the failure. The timeout is that of each header.
+boost::asio::awaitable<std::string> read_final_header(http_connection& connection,
+                                                      http_response& response,
+                                                      std::chrono::milliseconds timeout);
+
 enum class probe_result {
     listening,
     refused, ///< the host answered that nothing listens at the address
--- a/src/placement/http_order_sender.cpp
+++ b/src/placement/http_order_sender.cpp
@@ -106,7 +106,7 @@
         co_return order_status::unknown;
     }
     http_response response;
-    failure = co_await connection.read_header(response, left);
+    failure = co_await read_final_header(connection, response, left);
     co_return failure.empty() ? status_of(response.status) : order_status::unknown;
 }
 
--- a/src/placement/tests/order_sender_test.cpp
+++ b/src/placement/tests/order_sender_test.cpp
@@ -1,3 +1,4 @@
+#include "http/tests/raw_server.h"
 #include "placement/http_order_sender.h"
 #include "store/tests/scripted_server.h"
 
@@ -117,6 +118,20 @@
     }
 }
 
+// The status of the interim response counted as the engine's answer, and the order was sent again.
+TEST_CASE("an interim response is not the answer to an order")
+{
+    fixture f;
+    raw_server interim_engine;
+    std::thread thread{[&] {
+        interim_engine.answer("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", false);
+    }};
+    auto order = f.make(order_kind::drain);
+    order.address = f.address(interim_engine.address().port);
+    CHECK(f.send(order) == order_status::done);
+    thread.join();
+}
+
 TEST_CASE("an order to an unreachable engine or a malformed address fails")
 {
     fixture f;
