Do not pass on a part of an engine's error response as a whole one

Cause: completion_stream::read_error() read until the first failure and ignored it.

Change: read_body() of http/client.h, taken from call_on_connection(), tells whether a body is whole, and both use it. A refusal before admission stays one, because its whole header says that the request did not run.

Evidence: backend_tests "a part of an error response" failed in 4 of 8 rows (no body, part of a length, part of the chunks, over the limit: rejected in place of broken, and the part handed on). It passes with the change, and so do http_tests, store_tests and placement_tests.

--- a/src/backend/dispatch.cpp
+++ b/src/backend/dispatch.cpp
@@ -121,16 +121,22 @@
 asio::awaitable<read_end> completion_stream::read_error(http_connection& connection)
 {
     is_refused_ = true;
-    bool is_done = false;
-    std::string failure;
-    while (!is_done && failure.empty() && outcome_.response.body.size() < limits_.max_body) {
-        failure = co_await connection.read_some(outcome_.response.body, is_done, limits_.silence);
-    }
-    const bool is_not_admitted = find_header(outcome_.response.headers, "X-Not-Admitted") == "true";
-    outcome_.end = is_not_admitted ? dispatch_end::not_admitted : dispatch_end::rejected;
-    outcome_.run = is_not_admitted ? verdict::not_run : verdict::may_have_run;
+    auto& body = outcome_.response.body;
+    const auto failure = co_await read_body(connection, body, limits_.max_body, limits_.silence);
     outcome_.message = "status " + std::to_string(outcome_.response.status);
     outcome_.retry_after = parse_retry_after(outcome_.response);
+    if (find_header(outcome_.response.headers, "X-Not-Admitted") == "true") {
+        outcome_.end = dispatch_end::not_admitted;
+        outcome_.run = verdict::not_run;
+        co_return read_end::broken;
+    }
+    outcome_.end = dispatch_end::rejected;
+    outcome_.run = verdict::may_have_run;
+    if (!failure.empty()) {
+        outcome_.end = dispatch_end::broken;
+        outcome_.message += ", " + failure;
+        body.clear();
+    }
     co_return read_end::broken;
 }
 
--- a/src/backend/tests/broken_response_test.cpp
+++ b/src/backend/tests/broken_response_test.cpp
@@ -64,3 +64,43 @@
     CHECK(error.response.body == "hello");
     CHECK(dispatch_to(interim).end == dispatch_end::broken);
 }
+
+// The caller got the part of the body as a complete response.
+TEST_CASE("dispatch_completion does not take a part of an error response for the whole")
+{
+    struct row {
+        std::string name;
+        std::string bytes;
+        dispatch_end end;
+        verdict run;
+    };
+    const std::string chunked = "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string long_body(2'000, 'x'); // over the limit of dispatch_to()
+    const std::string long_error = "HTTP/1.1 500 Error\r\nContent-Length: 2000\r\n\r\n" + long_body;
+    const std::string not_admitted = error_head + "X-Not-Admitted: true\r\n";
+    const row rows[] = {
+        {"whole", error_head + "\r\nhello", dispatch_end::rejected, verdict::may_have_run},
+        {"no body", error_head + "\r\n", dispatch_end::broken, verdict::may_have_run},
+        {"part of a length", error_head + "\r\nhel", dispatch_end::broken, verdict::may_have_run},
+        {"part of the chunks", chunked + "3\r\nhel\r\n", dispatch_end::broken,
+         verdict::may_have_run},
+        {"over the limit", long_error, dispatch_end::broken, verdict::may_have_run},
+        {"header with a blank", "HTTP/1.1 500 Error\r\nX-Id: 7\r\n Content-Length: 5\r\n\r\nhello",
+         dispatch_end::broken, verdict::may_have_run},
+        {"status 000", "HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello", dispatch_end::broken,
+         verdict::may_have_run},
+        // The whole header says that the request did not run.
+        {"part of a refusal", not_admitted + "\r\nhel", dispatch_end::not_admitted,
+         verdict::not_run},
+    };
+    for (const auto& it : rows) {
+        CAPTURE(it.name);
+        const auto outcome = dispatch_to(it.bytes);
+        CHECK(outcome.end == it.end);
+        CHECK(outcome.run == it.run);
+        CHECK(!outcome.message.empty());
+        if (it.end == dispatch_end::broken) {
+            CHECK(outcome.response.body.empty());
+        }
+    }
+}
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -259,6 +259,20 @@
     co_return "received only interim responses";
 }
 
+asio::awaitable<std::string> read_body(http_connection& connection, std::string& body,
+                                       std::size_t max_body, std::chrono::milliseconds timeout)
+{
+    std::string error;
+    bool is_done = false;
+    while (!is_done && error.empty()) {
+        error = co_await connection.read_some(body, is_done, timeout);
+        if (body.size() > max_body) {
+            error = "read body: longer than the limit";
+        }
+    }
+    co_return error;
+}
+
 asio::awaitable<probe_result> probe_listener(ip_endpoint address, std::chrono::milliseconds timeout)
 {
     boost::system::error_code ec;
@@ -313,14 +327,7 @@
         co_return result;
     }
     result.progress = http_progress::answered;
-    bool is_done = false;
-    while (!is_done && result.message.empty()) {
-        result.message =
-            co_await connection.read_some(result.response.body, is_done, timeouts.read);
-        if (result.response.body.size() > max_body) {
-            result.message = "read body: longer than the limit";
-        }
-    }
+    result.message = co_await read_body(connection, result.response.body, max_body, timeouts.read);
     if (result.message.empty()) {
         result.progress = http_progress::complete;
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -97,6 +97,12 @@
                                                       http_response& response,
                                                       std::chrono::milliseconds timeout);
 
+/// Reads the rest of a body of at most max_body bytes. Returns an empty string, or why the body is
+/// not whole. The timeout is that of each read.
+boost::asio::awaitable<std::string> read_body(http_connection& connection, std::string& body,
+                                              std::size_t max_body,
+                                              std::chrono::milliseconds timeout);
+
 enum class probe_result {
     listening,
     refused, ///< the host answered that nothing listens at the address
