--- a/src/http/tests/early_response_test.cpp
+++ b/src/http/tests/early_response_test.cpp
@@ -162,3 +162,25 @@
         }
     }
 }
+
+TEST_CASE("call_http fails if the server resets the connection during the upload")
+{
+    for (const auto* rest : {"\r\npart", "Content-Length: 5\r\n\r\nhello"}) {
+        CAPTURE(rest);
+        early_server server;
+        const auto response = std::string{head} + rest;
+        std::thread thread{[&] { server.answer(response, connection_end::reset); }};
+        http_result result;
+        asio::io_context io;
+        const auto run = [&]() -> asio::awaitable<void> {
+            const http_request request{"POST", "/x", {}, std::string(upload_size, 'x')};
+            const http_timeouts timeouts;
+            result = co_await call_http(server.address(), request, timeouts);
+        };
+        asio::co_spawn(io, run(), asio::detached);
+        io.run();
+        thread.join();
+        CHECK(result.progress == http_progress::sent);
+        CHECK(!result.message.empty());
+    }
+}
