Move the conversion of received requests out of http/server

Change: from_beast(), status_of_read_error() and is_connection_end() stand in internal/received_request.h, as they were. Behaviour stays as it is.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,6 +4,7 @@
 #include "http/internal/body_budget.h"
 #include "http/internal/message_framing.h"
 #include "http/internal/open_connection.h"
+#include "http/internal/received_request.h"
 #include "http/internal/server_exchange.h"
 #include "http/internal/server_responses.h"
 
@@ -36,41 +37,18 @@
 
 namespace {
 
+using http_internal::from_beast;
 using http_internal::http_stream;
+using http_internal::is_connection_end;
 using http_internal::open_connection;
 using http_internal::server_exchange;
+using http_internal::status_of_read_error;
 using http_internal::string_parser;
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 constexpr std::size_t first_read_bytes = 4096;
 
-http_request from_beast(http::request<http::string_body>&& message)
-{
-    http_request request;
-    request.method = std::string{message.method_string()};
-    request.target = std::string{message.target()};
-    for (const auto& it : message) {
-        request.headers.push_back({std::string{it.name_string()}, std::string{it.value()}});
-    }
-    request.body = std::move(message.body());
-    return request;
-}
-
-int status_of_read_error(const boost::system::error_code& ec)
-{
-    if (ec == http::error::header_limit) {
-        return 431;
-    }
-    if (ec == http::error::body_limit) {
-        return 413;
-    }
-    if (ec == beast::error::timeout) {
-        return 408;
-    }
-    return 400;
-}
-
 /// Counts a connection or a request until the end of a scope, also by an exception.
 class scoped_count {
 public:
@@ -83,13 +61,6 @@
     std::atomic<std::size_t>& count_;
 };
 
-bool is_connection_end(const boost::system::error_code& ec)
-{
-    return ec == http::error::end_of_stream || ec == asio::error::connection_reset ||
-           ec == asio::error::operation_aborted || ec == asio::error::eof ||
-           ec == asio::ssl::error::stream_truncated;
-}
-
 } // namespace
 
 struct http_server::state {
