Name what a write has seen of a reset

Cause: is_reset of a client connection read as if every reset set it. Change: it is has_write_seen_reset now. Result: no change of behaviour.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -76,8 +76,8 @@
     beast::flat_buffer buf{max_buffered};
     std::optional<http_internal::response_parser> parser;
     bool is_keep_alive = false;
-    bool has_response_body = true; ///< false after a HEAD request
-    bool is_reset = false;         ///< as a write was told
+    bool has_response_body = true;     ///< false after a HEAD request
+    bool has_write_seen_reset = false; ///< so the reads see a regular end
 };
 
 http_connection::http_connection(asio::any_io_executor executor)
@@ -131,7 +131,7 @@
     const auto message = to_beast(head, body, state_->is_keep_alive);
     state_->stream.lower().expires_after(timeout);
     const auto [ec, n] = co_await http::async_write(state_->stream, message, use_tuple);
-    state_->is_reset = is_lost_connection(ec);
+    state_->has_write_seen_reset = is_lost_connection(ec);
     co_return ec ? "write: " + ec.message() : std::string{};
 }
 
@@ -177,7 +177,7 @@
     const auto [ec, n] =
         co_await http::async_read_some(state_->stream, state_->buf, parser, use_tuple);
     body.append(buf, sizeof buf - parser.get().body().size);
-    if (parser.is_done() && parser.need_eof() && state_->is_reset) {
+    if (parser.is_done() && parser.need_eof() && state_->has_write_seen_reset) {
         co_return "read body: the connection was reset during the request";
     }
     is_done = parser.is_done();
