Drop a reset of a response and a second look-up of the transfer coding

Change: the reset is gone, and the comment of read_final_header() says what it leaves. check_framing() looks at the version first, so that a request with HTTP/1.1 has one look-up again.

--- a/src/backend/dispatch.cpp
+++ b/src/backend/dispatch.cpp
@@ -109,7 +109,6 @@
     }
     outcome_.message = co_await read_final_header(connection, outcome_.response, limits_.silence);
     if (!outcome_.message.empty()) {
-        outcome_.response = {};
         co_return read_end::broken;
     }
     if (outcome_.response.status != 200) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -92,7 +92,8 @@
 };
 
 /// Reads headers until one belongs to a final response, and fills in its status and headers.
-/// Returns an empty string, or the cause of the failure. The timeout is that of each header.
+/// Returns an empty string, or the cause of the failure; the response is empty then. The timeout is
+/// that of each header.
 boost::asio::awaitable<std::string> read_final_header(http_connection& connection,
                                                       http_response& response,
                                                       std::chrono::milliseconds timeout);
--- a/src/http/internal/message_framing.cpp
+++ b/src/http/internal/message_framing.cpp
@@ -41,8 +41,7 @@
 
 boost::system::error_code check_framing(const http::header<true, http::fields>& request)
 {
-    const bool has_coding = request.count(http::field::transfer_encoding) > 0;
-    if (has_coding && request.version() < http_1_1) {
+    if (request.version() < http_1_1 && request.count(http::field::transfer_encoding) > 0) {
         return make_error_code(http::error::bad_transfer_encoding);
     }
     return check_transfer_coding(request);
